--- /dev/null
+++ b/src/main/kotlin/umberslip/admission/Admission.kt
@@ -0,0 +1,280 @@
+package umberslip.admission
+
+import com.github.benmanes.caffeine.cache.Cache
+import com.github.benmanes.caffeine.cache.Caffeine
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import umberslip.actor.Actor
+import umberslip.cloud.Flavor
+import umberslip.http.NoAnswer
+import umberslip.http.Response
+import umberslip.http.Unavailable
+import umberslip.records.End
+import umberslip.records.EndRecord
+import umberslip.records.JobId
+import umberslip.records.JobRecord
+import umberslip.records.JobSpec
+import umberslip.records.Keys
+import umberslip.records.Reader
+import umberslip.records.Shape
+import umberslip.records.Stamped
+import umberslip.settings.Settings
+import umberslip.settings.TeamSettings
+import umberslip.state.Guard
+import umberslip.state.Pacer
+import umberslip.state.Stamp
+import umberslip.state.StateService
+import umberslip.state.TxnResult
+import umberslip.state.Write
+import java.time.Instant
+
+sealed interface AdmissionMessage {
+    class Submit(val spec: JobSpec, val respond: (Response) -> Unit) : AdmissionMessage
+    class Status(val id: JobId, val respond: (Response) -> Unit) : AdmissionMessage
+    class Cancel(val id: JobId, val respond: (Response) -> Unit) : AdmissionMessage
+    class Flavors(val all: List<Flavor>) : AdmissionMessage
+    class Created(val group: List<Creation>) : AdmissionMessage
+    class Answered(val respond: (Response) -> Unit, val response: Response) : AdmissionMessage
+}
+
+/** A job on its way into the records. */
+class Creation(val spec: JobSpec, val submitted: Instant, val answer: CompletableDeferred<CreateResult>)
+
+enum class CreateResult { CREATED, KNOWN, UNDECIDED }
+
+/** Why a job can never run, or null; pure. */
+object Feasibility {
+    fun objection(spec: JobSpec, teams: Map<String, TeamSettings>, flavors: List<Flavor>, zones: List<String>): String? {
+        val team = teams[spec.team] ?: return "unknown team"
+        val all = if (spec.shape == Shape.ARRAY) 1 else spec.pieces
+        if (team.cpusMax != null && spec.cpus * all > team.cpusMax + EPSILON) return "needs more than the team's limit"
+        if (team.gpusMax != null && spec.gpus * all > team.gpusMax + EPSILON) return "needs more than the team's limit"
+        if (spec.zone != null && spec.zone !in zones && flavors.none { spec.zone in it.zones }) return "no such zone"
+        val fits = flavors.any {
+            (spec.types == null || it.label in spec.types) && (spec.zone == null || it.zones.isEmpty() || spec.zone in it.zones) &&
+                spec.cpus <= it.cpus + EPSILON && spec.gpus <= it.gpus + EPSILON && spec.memoryGb <= it.memoryGb + EPSILON
+        }
+        return if (fits) null else "a task fits no allowed machine type"
+    }
+
+    private const val EPSILON = 1e-6
+}
+
+/** The users' door: every controller has one, whoever owns. */
+class Admission(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val state: StateService,
+    private val writes: Pacer,
+    private val reader: Reader,
+    private val wallClock: () -> Instant,
+    private val announce: () -> Unit,
+    metrics: MeterRegistry,
+) : Actor<AdmissionMessage>("admission", scope) {
+    private val teams = settings.teams.associateBy { it.name }
+    private val ends: Cache<JobId, EndRecord> = Caffeine.newBuilder().maximumSize(20_000).executor(Runnable::run).build()
+    private var flavors: List<Flavor>? = null
+    private val queue = ArrayDeque<Creation>()
+    private var creating = false
+    private var open = 0
+    private val accepted = metrics.counter("umberslip.jobs.accepted")
+    private val refused = metrics.counter("umberslip.requests.refused")
+
+    override suspend fun receive(message: AdmissionMessage) {
+        when (message) {
+            is AdmissionMessage.Flavors -> flavors = message.all
+            is AdmissionMessage.Submit -> submit(message)
+            is AdmissionMessage.Status -> answer(message.respond) { status(message.id) }
+            is AdmissionMessage.Cancel -> answer(message.respond) { cancel(message.id) }
+            is AdmissionMessage.Created -> {
+                creating = false
+                create()
+            }
+            is AdmissionMessage.Answered -> {
+                open--
+                message.respond(message.response)
+            }
+        }
+    }
+
+    /** Each request is followed up beside the others; beyond a number, one is refused at once. */
+    private fun answer(respond: (Response) -> Unit, find: suspend () -> Response) {
+        if (open >= MAX_OPEN) {
+            refused.increment()
+            respond(Response.later(2, "too many requests at once"))
+            return
+        }
+        open++
+        scope.launch {
+            val response = try {
+                find()
+            } catch (e: Unavailable) {
+                undecided()
+            } catch (e: NoAnswer) {
+                undecided()
+            }
+            if (!tell(AdmissionMessage.Answered(respond, response))) {
+                open--
+                respond(response)
+            }
+        }
+    }
+
+    private fun undecided(): Response {
+        refused.increment()
+        return Response.later(1, "the state service gives no answer")
+    }
+
+    private fun submit(message: AdmissionMessage.Submit) {
+        val spec = message.spec
+        ends.getIfPresent(spec.id)?.let {
+            message.respond(told(200, spec.id, it))
+            return
+        }
+        val objection = if (spec.team !in teams) "unknown team" else flavors?.let { Feasibility.objection(spec, teams, it, settings.zones) }
+        if (objection == null && flavors == null) {
+            refused.increment()
+            message.respond(Response.later(1, "the machine types are not known yet"))
+            return
+        }
+        if (objection == null && queue.size >= MAX_QUEUE) {
+            refused.increment()
+            message.respond(Response.later(2, "too many submissions at once"))
+            return
+        }
+        answer(message.respond) {
+            if (objection != null) {
+                // What was accepted once is never refused later, whatever the machine types say now.
+                val known = status(spec.id)
+                if (known.status == 404) Response.error(422, objection) else known
+            } else {
+                val creation = Creation(spec, wallClock(), CompletableDeferred())
+                queue.addLast(creation)
+                create()
+                when (creation.answer.await()) {
+                    CreateResult.CREATED -> {
+                        accepted.increment()
+                        Response(201, mapOf("uid" to spec.id.value, "status" to "queued"))
+                    }
+                    CreateResult.KNOWN -> status(spec.id)
+                    CreateResult.UNDECIDED -> undecided()
+                }
+            }
+        }
+    }
+
+    /** Writes as many waiting jobs as one transaction takes. */
+    private fun create() {
+        if (creating || queue.isEmpty()) return
+        creating = true
+        val group = ArrayList<Creation>()
+        while (group.size < settings.stateLimits.txnOps && queue.isNotEmpty()) group += queue.removeFirst()
+        scope.launch {
+            try {
+                write(group)
+            } finally {
+                group.forEach { it.answer.complete(CreateResult.UNDECIDED) }
+                tell(AdmissionMessage.Created(group))
+            }
+        }
+    }
+
+    private suspend fun write(group: List<Creation>) {
+        var left = group.distinctBy { it.spec.id }
+        (group - left.toSet()).forEach { it.answer.complete(CreateResult.UNDECIDED) }
+        while (left.isNotEmpty()) {
+            writes.take(left.size, urgent = false)
+            val result = try {
+                state.txn(
+                    left.flatMap { listOf(Guard(Keys.job(it.spec.id), Stamp.NONE), Guard(Keys.end(it.spec.id), Stamp.NONE)) },
+                    left.map { Write.Put(Keys.job(it.spec.id), JobRecord(it.spec, it.submitted, false).toMap()) },
+                )
+            } catch (e: Unavailable) {
+                log.debug("not accepted: {}", e.message)
+                return
+            } catch (e: NoAnswer) {
+                // Accepted or not: the user's next try will show.
+                log.info("the fate of {} submissions is unknown: {}", left.size, e.message)
+                return
+            }
+            when (result) {
+                is TxnResult.Applied -> {
+                    left.forEach { it.answer.complete(CreateResult.CREATED) }
+                    announce()
+                    return
+                }
+                is TxnResult.Refused -> {
+                    val (known, rest) = left.partition { Keys.job(it.spec.id) in result.failed || Keys.end(it.spec.id) in result.failed }
+                    known.forEach { it.answer.complete(CreateResult.KNOWN) }
+                    if (known.isEmpty()) return
+                    left = rest
+                }
+                TxnResult.NoHold -> return
+            }
+        }
+    }
+
+    /** The job's state as of a read begun after the request came; ends may come from the cache. */
+    private suspend fun status(id: JobId): Response {
+        ends.getIfPresent(id)?.let { return told(200, id, it) }
+        val records = reader.confirm() ?: return undecided()
+        val job = records.job(id)?.value
+        if (job == null) {
+            val end = end(id) ?: return Response.error(404, "no such job")
+            return told(200, id, end)
+        }
+        if (job.cancelled) return told(200, id, EndRecord(End.CANCELLED, job.spec.pieces))
+        val (done, running) = records.progress(id)
+        val word = if (running > 0) "running" else "queued"
+        return Response(200, mapOf("uid" to id.value, "status" to word, "done" to done, "running" to running))
+    }
+
+    private suspend fun end(id: JobId): EndRecord? {
+        val entry = state.get(Keys.end(id)) ?: return null
+        return EndRecord.parse(entry.data).also { ends.put(id, it) }
+    }
+
+    private suspend fun cancel(id: JobId): Response {
+        ends.getIfPresent(id)?.let { return told(200, id, it) }
+        repeat(3) {
+            val records = reader.confirm() ?: return undecided()
+            val job: Stamped<JobRecord>? = records.job(id)
+            if (job == null) {
+                val end = end(id) ?: return Response.error(404, "no such job")
+                return told(200, id, end)
+            }
+            val end = EndRecord(End.CANCELLED, job.value.spec.pieces)
+            if (job.value.cancelled) return told(200, id, end)
+            // Whichever of done and cancelled is written first is final: both create the end's record.
+            writes.take(2, urgent = true)
+            val result = state.txn(
+                listOf(Guard(Keys.job(id), job.stamp), Guard(Keys.end(id), Stamp.NONE)),
+                listOf(
+                    Write.Put(Keys.end(id), end.toMap()),
+                    Write.Put(Keys.job(id), job.value.copy(cancelled = true).toMap()),
+                ),
+            )
+            if (result is TxnResult.Applied) {
+                ends.put(id, end)
+                announce()
+                return told(200, id, end)
+            }
+        }
+        return undecided()
+    }
+
+    private fun told(status: Int, id: JobId, end: EndRecord): Response = Response(
+        status,
+        mapOf(
+            "uid" to id.value, "status" to end.end.word,
+            "done" to if (end.end == End.DONE) end.pieces else 0, "running" to 0,
+        ),
+    )
+
+    private companion object {
+        const val MAX_OPEN = 400
+        const val MAX_QUEUE = 100
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -0,0 +1,90 @@
+package umberslip.agents
+
+import umberslip.cloud.Flavor
+import umberslip.cloud.HostName
+import umberslip.dispatch.Assignment
+import umberslip.records.JobId
+import umberslip.records.TaskId
+import kotlin.time.Duration
+
+/** What an amount of work takes of a machine, or a machine offers. */
+data class Room(val cpus: Double, val gpus: Double, val memoryGb: Double) {
+    fun covers(other: Room): Boolean =
+        cpus + EPSILON >= other.cpus && gpus + EPSILON >= other.gpus && memoryGb + EPSILON >= other.memoryGb
+
+    operator fun minus(other: Room) = Room(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb)
+
+    /** How many times [piece] fits. */
+    fun times(piece: Room): Int {
+        var n = Double.MAX_VALUE
+        if (piece.cpus > 0) n = minOf(n, cpus / piece.cpus)
+        if (piece.gpus > 0) n = minOf(n, gpus / piece.gpus)
+        if (piece.memoryGb > 0) n = minOf(n, memoryGb / piece.memoryGb)
+        return (n + EPSILON).toInt().coerceAtLeast(0)
+    }
+
+    companion object {
+        private const val EPSILON = 1e-6
+
+        fun of(flavor: Flavor) = Room(flavor.cpus, flavor.gpus, flavor.memoryGb)
+    }
+}
+
+/** An ended piece stays in reports until its result is written; only then may it be cleared. */
+class AwaitingClear(val written: () -> Boolean)
+
+/** A machine as its reports and our records show it. */
+class Machine(val name: HostName, var type: String, var zone: String, var spot: Boolean) {
+    /** Null until the machine type is known; nothing is placed before. */
+    var capacity: Room? = null
+    val assignments = LinkedHashMap<TaskId, Assignment>()
+    val awaitingClear = HashMap<Pair<TaskId, Long>, AwaitingClear>()
+
+    /** Pieces in the newest report that carried the owner's own term. */
+    var reported: Map<TaskId, Piece> = emptyMap()
+    var shift = -1L
+    var counter = -1L
+
+    /** A report with the owner's own term has shown what is on the machine. */
+    var proven = false
+    var firstHeard: Duration? = null
+    var lastHeard: Duration? = null
+
+    /** From then on, every lease that any controller can have renewed has run out. */
+    var leaseEnd: Duration = Duration.ZERO
+    var takenAt: Duration? = null
+
+    /** Being emptied, to be returned. */
+    var closing = false
+
+    /** Its release was asked for: nothing is told to it any more. */
+    var releasing = false
+    var sick = false
+    var noRoomUntil: Duration = Duration.ZERO
+
+    /** Jobs that failed here since the last success, and how often. */
+    val failures = HashMap<JobId, Int>()
+
+    /** Images that tasks here have been started with, the latest last. */
+    val images = LinkedHashSet<String>()
+    var idleSince: Duration? = null
+
+    val usable: Boolean get() = proven && !closing && !releasing && !sick && takenAt == null
+
+    fun used(): Room {
+        var cpus = 0.0
+        var gpus = 0.0
+        var memory = 0.0
+        for (a in assignments.values) {
+            cpus += a.room.cpus
+            gpus += a.room.gpus
+            memory += a.room.memoryGb
+        }
+        return Room(cpus, gpus, memory)
+    }
+
+    fun free(): Room? = capacity?.minus(used())
+
+    fun isNewer(report: Report): Boolean =
+        report.shift > shift || (report.shift == shift && report.counter > counter)
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -0,0 +1,117 @@
+package umberslip.dispatch
+
+import umberslip.agents.Machine
+import umberslip.agents.Room
+import umberslip.records.Shape
+import umberslip.settings.TeamSettings
+import kotlin.time.Duration
+
+/**
+ * A team's dispatcher: its waiting jobs in order, and what its tasks hold of the machines.
+ * One is hosted by the owner for each team.
+ */
+class Dispatcher(val team: TeamSettings) {
+    private val jobs = ArrayList<RunningJob>()
+    private var sorted = true
+
+    var usedCpus = 0.0
+        private set
+    var usedGpus = 0.0
+        private set
+
+    /** The smooth weighted round-robin's running credit. */
+    var credit = 0.0
+
+    /** Without a guarantee a team still has a share: that of the smallest unit. */
+    val weight: Double = team.cpus.coerceAtLeast(1.0)
+
+    fun jobs(): List<RunningJob> {
+        if (!sorted) {
+            jobs.sortWith(ORDER)
+            sorted = true
+        }
+        return jobs
+    }
+
+    fun add(job: RunningJob) {
+        jobs.add(job)
+        sorted = false
+    }
+
+    fun remove(job: RunningJob) {
+        jobs.remove(job)
+    }
+
+    fun take(room: Room) {
+        usedCpus += room.cpus
+        usedGpus += room.gpus
+    }
+
+    fun give(room: Room) {
+        usedCpus -= room.cpus
+        usedGpus -= room.gpus
+    }
+
+    fun withinLimit(room: Room): Boolean =
+        (team.cpusMax == null || usedCpus + room.cpus <= team.cpusMax + EPSILON) &&
+            (team.gpusMax == null || usedGpus + room.gpus <= team.gpusMax + EPSILON)
+
+    fun withinGuarantee(room: Room): Boolean =
+        (team.cpus > 0 || team.gpus > 0) && usedCpus + room.cpus <= team.cpus + EPSILON && usedGpus + room.gpus <= team.gpus + EPSILON
+
+    /** The first job, in order, that has a task for this machine's free room. */
+    fun pick(machine: Machine, free: Room, now: Duration): RunningJob? {
+        for (job in jobs()) {
+            if (job.notBefore > now || !free.covers(job.room)) continue
+            if (job.spec.shape == Shape.GANG && !mayGather(job, now)) continue
+            if (job.peek() == null || !allowed(job, machine) || !withinLimit(job.room)) continue
+            if (machine.failures.containsKey(job.spec.id)) continue
+            return job
+        }
+        return null
+    }
+
+    /**
+     * One gang at a time gathers slots, and none while tasks of its former attempt are still about:
+     * they would have another attempt number.
+     */
+    private fun mayGather(job: RunningJob, now: Duration): Boolean {
+        if (job.gatherAgainAt > now) return false
+        if (job.assigned.values.any { !it.reserved }) return false
+        return jobs.none { it !== job && it.gatheringSince != null }
+    }
+
+    companion object {
+        private const val EPSILON = 1e-6
+        private val ORDER = compareBy<RunningJob>({ it.spec.urgency }, { it.due }, { it.spec.id.value })
+
+        /** Whether a job's task may be on a machine at all, and given where the job's other tasks are. */
+        fun allowed(job: RunningJob, machine: Machine): Boolean {
+            val spec = job.spec
+            if (spec.types != null && machine.type !in spec.types) return false
+            if (spec.zone != null && machine.zone != spec.zone) return false
+            if (machine.spot && !spec.spot) return false
+            if (spec.oneZone && job.zones.isNotEmpty() && machine.zone !in job.zones) return false
+            return !spec.spread || (job.zones[machine.zone] ?: 0) < spec.maxPerZone
+        }
+    }
+}
+
+/** Turns among teams: smooth weighted round-robin, by the processors dealt; teams below their guarantee go first. */
+object Turns {
+    fun next(candidates: Map<Dispatcher, RunningJob>): Dispatcher? {
+        if (candidates.isEmpty()) return null
+        val owed = candidates.filter { (team, job) -> team.withinGuarantee(job.room) }.keys
+        val among = owed.ifEmpty { candidates.keys }
+        val chosen = among.maxWith(compareBy<Dispatcher> { it.credit + it.weight / total(among) * cost(candidates, it) }.thenBy { it.team.name })
+        val cost = cost(candidates, chosen)
+        for (team in among) team.credit += team.weight / total(among) * cost
+        chosen.credit -= cost
+        return chosen
+    }
+
+    private fun total(teams: Collection<Dispatcher>): Double = teams.sumOf { it.weight }
+
+    private fun cost(candidates: Map<Dispatcher, RunningJob>, team: Dispatcher): Double =
+        candidates[team]?.room?.cpus?.coerceAtLeast(0.1) ?: 1.0
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -0,0 +1,306 @@
+package umberslip.dispatch
+
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import umberslip.actor.Actor
+import umberslip.actor.Clock
+import umberslip.agents.Machine
+import umberslip.agents.Order
+import umberslip.agents.Report
+import umberslip.cloud.Flavor
+import umberslip.cloud.HostName
+import umberslip.fleet.FleetView
+import umberslip.http.NoAnswer
+import umberslip.http.Response
+import umberslip.http.Unavailable
+import umberslip.ownership.Authority
+import umberslip.records.Keys
+import umberslip.records.RecordEvent
+import umberslip.records.RecordView
+import umberslip.settings.Settings
+import umberslip.settings.Timings
+import umberslip.settings.Tuning
+import umberslip.state.Pacer
+import umberslip.state.StateService
+import umberslip.state.TxnResult
+import java.time.Instant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+sealed interface OwnerMessage {
+    class Reported(val report: Report, val respond: (Response) -> Unit) : OwnerMessage
+    class TookOver(val records: RecordView, val silentUntil: Duration) : OwnerMessage
+    data object SteppedDown : OwnerMessage
+    class RecordsChanged(val events: List<RecordEvent>) : OwnerMessage
+    class Flavors(val all: List<Flavor>) : OwnerMessage
+    class Written(val batch: Batch, val outcome: TxnResult?) : OwnerMessage
+    class Deal(val host: HostName, val counter: Long) : OwnerMessage
+    data object Tick : OwnerMessage
+    data object Flush : OwnerMessage
+
+    /** From the fleet: asks for what it plans from. */
+    class View(val answer: (FleetView?) -> Unit) : OwnerMessage
+
+    /** From the fleet: these are to be emptied; all others are not. */
+    class Close(val hosts: Set<HostName>) : OwnerMessage
+
+    /** From the fleet: nothing more is told to these; answered with those that may go now. */
+    class Releasing(val hosts: Set<HostName>, val evenIfBusy: Boolean, val answer: (List<HostName>) -> Unit) : OwnerMessage
+    class Released(val hosts: List<HostName>) : OwnerMessage
+}
+
+/** The owner's actor: workers' reports in, orders and records out. Decisions are the [Board]'s. */
+class Owner(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val tuning: Tuning,
+    private val timings: Timings,
+    private val state: StateService,
+    private val writes: Pacer,
+    private val clock: Clock,
+    private val wallClock: () -> Instant,
+    private val authority: Authority,
+    private val nudge: () -> Unit,
+    metrics: MeterRegistry,
+) : Actor<OwnerMessage>("dispatch", scope) {
+    private class Waiting(val counter: Long, val respond: (Response) -> Unit, val until: Duration)
+
+    private var board: Board? = null
+    private var flavors: List<Flavor> = emptyList()
+    private val waiting = HashMap<HostName, Waiting>()
+    private var writing = false
+    private var flushTimer: Job? = null
+    private val reports = metrics.counter("umberslip.reports")
+    private val starts = metrics.counter("umberslip.starts")
+    private val batches = metrics.counter("umberslip.batches")
+    private val written = metrics.counter("umberslip.writes")
+
+    override fun start(): Job {
+        scope.launch {
+            while (true) {
+                delay(TICK)
+                tell(OwnerMessage.Tick)
+            }
+        }
+        return super.start()
+    }
+
+    override suspend fun receive(message: OwnerMessage) {
+        val now = clock.now()
+        when (message) {
+            is OwnerMessage.Reported -> reported(message.report, message.respond, now)
+            is OwnerMessage.TookOver -> takeOver(message, now)
+            OwnerMessage.SteppedDown -> stepDown()
+            is OwnerMessage.RecordsChanged -> board?.let { changed(it, message.events, now) }
+            is OwnerMessage.Flavors -> {
+                flavors = message.all
+                board?.setFlavors(flavors)
+            }
+            is OwnerMessage.Written -> written(message, now)
+            is OwnerMessage.Deal -> dealOn(message, now)
+            OwnerMessage.Tick -> tick(now)
+            OwnerMessage.Flush -> flush(now)
+            is OwnerMessage.View -> message.answer(board?.let { FleetView.of(it, now) })
+            is OwnerMessage.Close -> board?.machines?.values?.forEach { it.closing = it.name in message.hosts }
+            is OwnerMessage.Releasing -> {
+                val machines = board?.machines
+                message.answer(
+                    message.hosts.filter { name ->
+                        val machine = machines?.get(name)
+                        val may = machine == null || message.evenIfBusy || machine.assignments.isEmpty()
+                        if (may) machine?.releasing = true
+                        may
+                    },
+                )
+            }
+            is OwnerMessage.Released -> board?.released(message.hosts, now)
+        }
+    }
+
+    private fun takeOver(message: OwnerMessage.TookOver, now: Duration) {
+        val term = authority.term ?: return
+        val stamp = authority.stamp ?: return
+        val fresh = Board(settings, tuning, timings, term, stamp, wallClock)
+        fresh.setFlavors(flavors)
+        fresh.load(message.records, now, message.silentUntil)
+        board = fresh
+        log.info("owner under term {}: {} jobs, {} machines with recorded tasks", term.value, fresh.jobs.size, fresh.machines.size)
+    }
+
+    private fun stepDown() {
+        if (board != null) log.warn("no longer the owner")
+        board = null
+        waiting.values.forEach { it.respond(REFUSED) }
+        waiting.clear()
+    }
+
+    private fun changed(board: Board, events: List<RecordEvent>, now: Duration) {
+        for (event in events) {
+            when (event) {
+                is RecordEvent.JobChanged -> board.jobChanged(event.id, event.job, now)
+                is RecordEvent.JobGone -> board.jobGone(event.id)
+                is RecordEvent.OwnerChanged -> Unit
+            }
+        }
+    }
+
+    // ---- reports ----
+
+    private fun reported(report: Report, respond: (Response) -> Unit, now: Duration) {
+        val board = board
+        if (board == null || !authority.mayAnswer(now)) {
+            respond(REFUSED)
+            return
+        }
+        reports.increment()
+        when (board.report(report, now)) {
+            Verdict.STALE -> respond(REFUSED)
+            Verdict.OUTRANKED -> {
+                respond(Response.error(421, "a higher term is known"))
+                authority.outranked()
+            }
+            Verdict.ANSWER -> {
+                waiting.remove(report.host)?.respond?.invoke(REFUSED)
+                waiting[report.host] = Waiting(report.counter, respond, now + REPLY_WITHIN)
+                dealOn(OwnerMessage.Deal(report.host, report.counter), now)
+            }
+        }
+    }
+
+    /** One round of placing for a machine; what the budget cuts off goes on after other messages had their turn. */
+    private fun dealOn(deal: OwnerMessage.Deal, now: Duration) {
+        val board = board ?: return
+        val machine = board.machines[deal.host] ?: return
+        if (machine.counter != deal.counter) return
+        if (authority.mayStart(now)) {
+            val end = now + tuning.roundBudget
+            if (!board.deal(machine, now) { clock.now() > end }) {
+                tell(deal)
+                return
+            }
+        }
+        if (!board.hasUnrecorded(machine)) answer(board, machine, now) else flush(now)
+    }
+
+    private fun answer(board: Board, machine: Machine, now: Duration) {
+        val waiter = waiting.remove(machine.name) ?: return
+        if (waiter.counter != machine.counter || machine.releasing || !authority.mayAnswer(now)) {
+            waiter.respond(REFUSED)
+            return
+        }
+        val orders = board.orders(machine, authority.mayStart(now))
+        orders.forEach { if (it is Order.Start) starts.increment() }
+        board.answered(machine.name, now)
+        waiter.respond(Response(200, mapOf("warrant" to board.term.value, "orders" to orders.map { it.toMap() })))
+    }
+
+    private fun tick(now: Duration) {
+        val board = board ?: return
+        board.tick(now)
+        for ((name, waiter) in waiting.entries.toList()) {
+            if (waiter.until <= now) board.machines[name]?.let { answer(board, it, now) }
+        }
+        flush(now)
+    }
+
+    // ---- writing ----
+
+    private fun flush(now: Duration) {
+        val board = board ?: return
+        if (writing || !authority.mayStart(now)) return
+        val wait = writes.wait(MIN_OPS)
+        if (wait > Duration.ZERO) {
+            flushIn(wait)
+            return
+        }
+        val batch = board.nextBatch(minOf(settings.stateLimits.txnOps, writes.available().coerceAtLeast(MIN_OPS)), now) ?: return
+        writing = true
+        scope.launch {
+            writes.take(batch.writes.size, urgent = true)
+            val outcome = try {
+                state.txn(batch.guards, batch.writes).also {
+                    if (it is TxnResult.Refused && Keys.OWNER !in it.failed) {
+                        log.info("a batch was refused for {}", it.failed)
+                        settle(board, it.failed)
+                        nudge()
+                    }
+                }
+            } catch (e: Unavailable) {
+                log.debug("a batch was not taken: {}", e.message)
+                delay(RETRY)
+                null
+            } catch (e: NoAnswer) {
+                log.info("the fate of a batch is unknown: {}", e.message)
+                settle(board, batch.guards.map { it.key }.filter { it != Keys.OWNER })
+                null
+            }
+            tell(OwnerMessage.Written(batch, outcome))
+        }
+    }
+
+    private fun flushIn(wait: Duration) {
+        if (flushTimer?.isActive == true) return
+        flushTimer = scope.launch {
+            delay(wait)
+            flushTimer = null
+            tell(OwnerMessage.Flush)
+        }
+    }
+
+    private fun written(message: OwnerMessage.Written, now: Duration) {
+        writing = false
+        val board = board ?: return
+        when (val outcome = message.outcome) {
+            is TxnResult.Applied -> {
+                batches.increment()
+                written.increment(message.batch.writes.size.toDouble())
+                for (name in board.applied(message.batch, outcome.stamp)) {
+                    board.machines[name]?.let { if (!board.hasUnrecorded(it)) answer(board, it, now) }
+                }
+            }
+            is TxnResult.Refused -> {
+                board.notApplied(message.batch)
+                if (Keys.OWNER in outcome.failed) {
+                    authority.lost("its record is not ours any more")
+                    return
+                }
+            }
+            else -> board.notApplied(message.batch)
+        }
+        flush(clock.now())
+    }
+
+    /**
+     * After a refusal, or when a write's fate is unknown, the keys are read before anything more is
+     * written to them. An unknown write that comes through later fails on these newer stamps.
+     */
+    private suspend fun settle(board: Board, keys: List<String>) {
+        for (key in keys) {
+            var tries = 0
+            while (this.board === board) {
+                try {
+                    val entry = state.get(key)
+                    board.settle(key, entry?.stamp, entry?.data)
+                    break
+                } catch (e: Unavailable) {
+                    if (tries++ == 0) log.info("{} cannot be read yet: {}", key, e.message)
+                    delay(RETRY)
+                } catch (e: NoAnswer) {
+                    if (tries++ == 0) log.info("{} cannot be read yet: {}", key, e.message)
+                    delay(RETRY)
+                }
+            }
+        }
+    }
+
+    private companion object {
+        val TICK = 200.milliseconds
+        val RETRY = 200.milliseconds
+        val REPLY_WITHIN = 1200.milliseconds
+        const val MIN_OPS = 3
+        val REFUSED = Response.later(1, "not the owner, or an old report")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -0,0 +1,130 @@
+package umberslip.dispatch
+
+import umberslip.agents.PieceStatus
+import umberslip.agents.Room
+import umberslip.cloud.HostName
+import umberslip.records.ChunkRecord
+import umberslip.records.JobRecord
+import umberslip.records.JobSpec
+import umberslip.records.Keys
+import umberslip.records.Placement
+import umberslip.records.Stamped
+import umberslip.records.TaskId
+import umberslip.state.Stamp
+import java.util.BitSet
+import java.util.TreeSet
+import kotlin.time.Duration
+
+/** A task that is, or may be, on a machine. */
+class Assignment(val job: RunningJob, val index: Int, var attempt: Long, val host: HostName, val zone: String) {
+    val id = TaskId(job.spec.id, index)
+    val room: Room get() = job.room
+
+    /** Holds a slot for a gang that is not complete yet: neither recorded nor started. */
+    var reserved = false
+
+    /** The start is in the state service, so it may be told to the worker. */
+    var recorded = false
+    var status: PieceStatus? = null
+    var runningSince: Duration? = null
+
+    /** Set once it shall stop; the worker then has this long to save. */
+    var windDown: Duration? = null
+}
+
+/** A run of a job's tasks whose progress is one record. */
+class Chunk(val job: RunningJob, val number: Int) {
+    val key = Keys.chunk(job.spec.id, number)
+    var stamp = Stamp.NONE
+    var version = 0L
+    var written = 0L
+    var lastAttempt = 0L
+
+    /** Since when a change is unwritten. */
+    var dirtySince: Duration? = null
+    var unrecorded = 0
+
+    fun touch(now: Duration) {
+        version++
+        if (dirtySince == null) dirtySince = now
+    }
+}
+
+/** An accepted job that has not ended, with all its tasks. */
+class RunningJob(val spec: JobSpec, var record: Stamped<JobRecord>, val perChunk: Int, val due: Duration) {
+    val room = Room(spec.cpus, spec.gpus, spec.memoryGb)
+    val done = BitSet()
+    val assigned = HashMap<Int, Assignment>()
+    private val chunks = arrayOfNulls<Chunk>((spec.pieces + perChunk - 1) / perChunk)
+
+    /** Tasks that came back from a machine and wait again; the rest of the waiting are [fresh] and later. */
+    private val returned = TreeSet<Int>()
+    private var fresh = 0
+    val zones = HashMap<String, Int>()
+
+    val cancelled: Boolean get() = record.value.cancelled
+    val finished: Boolean get() = done.cardinality() == spec.pieces
+    val waiting: Int get() = if (cancelled) 0 else spec.pieces - done.cardinality() - assigned.size
+
+    /** After failures on several machines, the job's tasks wait before the next try. */
+    var notBefore: Duration = Duration.ZERO
+    val failedOn = HashSet<HostName>()
+    var failures = 0
+    var successes = 0
+
+    /** Own observation of a task's run time, once there is one. */
+    var observedSeconds: Double? = null
+
+    /** How long a gang may gather slots; doubles whenever it had to give them back. */
+    var gatherBound: Duration = Duration.ZERO
+    var gatheringSince: Duration? = null
+    var gatherAgainAt: Duration = Duration.ZERO
+
+    fun chunk(index: Int): Chunk = chunkNumber(index / perChunk)
+
+    fun chunkNumber(number: Int): Chunk = chunks[number] ?: Chunk(this, number).also { chunks[number] = it }
+
+    fun knownChunks(): List<Chunk> = chunks.filterNotNull()
+
+    fun highestAttempt(): Long = chunks.maxOfOrNull { it?.lastAttempt ?: 0L } ?: 0L
+
+    /** The next task to place, without taking it; null where none waits. */
+    fun peek(): Int? {
+        if (cancelled) return null
+        returned.firstOrNull()?.let { return it }
+        while (fresh < spec.pieces && (done.get(fresh) || assigned.containsKey(fresh))) fresh++
+        return if (fresh < spec.pieces) fresh else null
+    }
+
+    fun place(a: Assignment) {
+        returned.remove(a.index)
+        assigned[a.index] = a
+        zones.merge(a.zone, 1, Int::plus)
+    }
+
+    fun unplace(a: Assignment) {
+        if (assigned[a.index] !== a) return
+        assigned.remove(a.index)
+        zones.computeIfPresent(a.zone) { _, n -> if (n > 1) n - 1 else null }
+        if (!done.get(a.index)) returned.add(a.index)
+    }
+
+    fun load(number: Int, record: Stamped<ChunkRecord>) {
+        val chunk = chunkNumber(number)
+        chunk.stamp = record.stamp
+        chunk.lastAttempt = record.value.lastAttempt
+        val base = number * perChunk
+        record.value.done.stream().forEach { done.set(base + it) }
+    }
+
+    fun chunkRecord(chunk: Chunk): ChunkRecord {
+        val base = chunk.number * perChunk
+        val end = minOf(base + perChunk, spec.pieces)
+        val placed = ArrayList<Placement>()
+        for (i in base until end) assigned[i]?.takeIf { !it.reserved }?.let { placed += Placement(i, it.attempt, it.host) }
+        return ChunkRecord(done.get(base, end), placed, chunk.lastAttempt)
+    }
+
+    /** The expected run time of a task: what was seen, else what the owner thinks. */
+    fun expected(): Double = observedSeconds ?: spec.expectedSeconds.coerceAtLeast(1.0)
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -0,0 +1,240 @@
+package umberslip.fleet
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import umberslip.actor.Clock
+import umberslip.cloud.Cloud
+import umberslip.cloud.Flavor
+import umberslip.cloud.HostName
+import umberslip.cloud.HostStatus
+import umberslip.cloud.Offer
+import umberslip.dispatch.Owner
+import umberslip.dispatch.OwnerMessage
+import umberslip.http.Fields
+import umberslip.http.Malformed
+import umberslip.http.NoAnswer
+import umberslip.http.Unavailable
+import umberslip.ownership.Authority
+import umberslip.records.Keys
+import umberslip.settings.Settings
+import umberslip.settings.Tuning
+import umberslip.state.Guard
+import umberslip.state.StateService
+import umberslip.state.Write
+import java.time.Instant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Rents and returns machines while this controller owns. A loop of its own: the cloud is slow, and
+ * nobody waits for it.
+ */
+class Fleet(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val tuning: Tuning,
+    private val cloud: Cloud,
+    private val state: StateService,
+    private val authority: Authority,
+    private val owner: Owner,
+    private val clock: Clock,
+    private val wallClock: () -> Instant,
+    private val flavorsKnown: (List<Flavor>) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("umberslip.fleet")
+    private val planner = FleetPlanner(tuning)
+    private var flavors: Map<String, Flavor> = emptyMap()
+    private var flavorsAt: Duration? = null
+    private var listedAt: Duration? = null
+    private val booting = LinkedHashMap<HostName, Booting>()
+
+    /** Offers that had no machine lately, and until when they are not asked again. */
+    private val shut = HashMap<Offer, Duration>()
+
+    /** Requests whose fate is unknown, asked again under the same name. */
+    private val unsettled = ArrayDeque<Pair<String, Rent>>()
+    private val releases = LinkedHashSet<HostName>()
+    private val gone = HashSet<HostName>()
+    private val unneededSince = HashMap<HostName, Duration>()
+    private val strangers = HashMap<HostName, Duration>()
+    private var requests = 0
+    private var epoch = 0L
+
+    fun start(): Job = scope.launch {
+        while (true) {
+            try {
+                round()
+            } catch (e: Unavailable) {
+                log.info("the cloud does not serve: {}", e.message)
+                delay(TROUBLE)
+            } catch (e: NoAnswer) {
+                log.info("the cloud does not answer: {}", e.message)
+                delay(TROUBLE)
+            } catch (e: Malformed) {
+                log.error("the cloud's answer cannot be read: {}", e.message)
+                delay(TROUBLE)
+            }
+            delay(ROUND)
+        }
+    }
+
+    /** A new owner starts from what its predecessor noted; the rest shows in the list and in reports. */
+    fun tookOver(noted: Any?) {
+        booting.clear()
+        unsettled.clear()
+        releases.clear()
+        gone.clear()
+        unneededSince.clear()
+        strangers.clear()
+        shut.clear()
+        listedAt = null
+        requests = 0
+        if (noted == null) return
+        try {
+            val now = clock.now()
+            for (f in Fields.of(noted, Keys.FLEET).maps("booting")) {
+                val age = (wallClock().toEpochMilli() - f.long("since_ms")).milliseconds
+                val name = HostName(f.text("host"))
+                booting[name] = Booting(name, Offer(f.text("type"), f.text("zone"), f.flag("spot")), now - age)
+            }
+        } catch (e: Malformed) {
+            log.error("the note on booting machines cannot be read: {}", e.message)
+        }
+    }
+
+    private suspend fun round() {
+        val asOf = flavorsAt
+        if (asOf == null || clock.now() - asOf > FLAVORS_EVERY) {
+            val all = cloud.flavors()
+            flavors = all.associateBy { it.label }
+            flavorsAt = clock.now()
+            flavorsKnown(all)
+        }
+        if (!authority.mayStart(clock.now())) return
+        val term = authority.term ?: return
+        val view = view() ?: return
+        val now = clock.now()
+        for (m in view.machines) if (m.silentFor != null) booting.remove(m.name)
+        if (listedAt?.let { now - it > LIST_EVERY } != false) list(view, now)
+        giveUpBooting(now)
+        val plan = planner.plan(view, booting.values.toList(), flavors) { (shut[it] ?: Duration.ZERO) > now }
+        close(view, plan, now)
+        release()
+        while (unsettled.isNotEmpty() && authority.mayStart(clock.now())) {
+            val (name, rent) = unsettled.first()
+            rent(name, rent)
+            unsettled.removeFirst()
+        }
+        for (rent in plan.rent) {
+            if (!authority.mayStart(clock.now())) return
+            val name = "${settings.member}-${term.value}-${++requests}"
+            unsettled.addLast(name to rent)
+            rent(name, rent)
+            unsettled.removeLast()
+        }
+    }
+
+    private suspend fun view(): FleetView? {
+        val answer = CompletableDeferred<FleetView?>()
+        if (!owner.tell(OwnerMessage.View { answer.complete(it) })) return null
+        return answer.await()
+    }
+
+    private suspend fun rent(name: String, rent: Rent) {
+        val hosts = cloud.rent(name, rent.offer, rent.number)
+        val now = clock.now()
+        if (hosts == null || hosts.size < rent.number) shut[rent.offer] = now + SHUT
+        log.info("rented {} of {} {}", hosts?.size ?: 0, rent.number, rent.offer)
+        if (hosts.isNullOrEmpty()) return
+        for (host in hosts) booting[host] = Booting(host, rent.offer, now)
+        note()
+    }
+
+    /** A hint for the next owner, so that it does not rent for the same need again. */
+    private suspend fun note() {
+        val stamp = authority.stamp ?: return
+        val base = wallClock().toEpochMilli() - clock.now().inWholeMilliseconds
+        val rows = booting.values.take(MAX_NOTED).map {
+            mapOf(
+                "host" to it.name.value, "type" to it.offer.type, "zone" to it.offer.zone, "spot" to it.offer.spot,
+                "since_ms" to base + it.since.inWholeMilliseconds,
+            )
+        }
+        try {
+            state.txn(listOf(Guard(Keys.OWNER, stamp)), listOf(Write.Put(Keys.FLEET, mapOf("booting" to rows))))
+        } catch (e: Unavailable) {
+            log.debug("booting machines not noted: {}", e.message)
+        } catch (e: NoAnswer) {
+            log.debug("booting machines perhaps not noted: {}", e.message)
+        }
+    }
+
+    private suspend fun list(view: FleetView, now: Duration) {
+        val all = cloud.hosts()
+        listedAt = now
+        val reporting = view.machines.associateBy { it.name }
+        for (host in all) {
+            if (host.name in gone || host.name in releases) continue
+            val machine = reporting[host.name]
+            val heard = machine?.silentFor
+            when {
+                host.status == HostStatus.FAILED -> releases += host.name
+                heard != null -> Unit
+                host.name in booting -> Unit
+                // Rented by a former owner, or by a request that came late: used like any other.
+                else -> booting[host.name] = Booting(host.name, Offer(host.type, host.zone, host.spot), now - host.age)
+            }
+        }
+        strangers.keys.retainAll(all.map { it.name }.toSet())
+    }
+
+    private fun giveUpBooting(now: Duration) {
+        for (b in booting.values.toList()) {
+            val boot = flavors[b.offer.type]?.boot ?: continue
+            if (now - b.since > maxOf(boot * 3, boot + 40.seconds)) {
+                log.warn("machine {} did not come up in {}: returned", b.name.value, now - b.since)
+                booting.remove(b.name)
+                releases += b.name
+            }
+        }
+    }
+
+    /** Machines that stay unneeded are emptied, and returned once empty; so are sick ones. */
+    private suspend fun close(view: FleetView, plan: Plan, now: Duration) {
+        unneededSince.keys.retainAll(plan.unneeded)
+        plan.unneeded.forEach { unneededSince.getOrPut(it) { now } }
+        val closing = view.machines.filter { it.sick || (unneededSince[it.name]?.let { since -> now - since >= tuning.idle } ?: false) }
+        owner.tell(OwnerMessage.Close(closing.mapTo(HashSet()) { it.name }))
+        val empty = closing.filter { it.tasks == 0 }.map { it.name }
+        // A machine that went silent until all its leases ran out is gone or useless.
+        val lost = view.machines.filter { it.leaseOver && it.silentFor != null }.map { it.name }
+        if (empty.isEmpty() && lost.isEmpty()) return
+        val answer = CompletableDeferred<List<HostName>>()
+        if (owner.tell(OwnerMessage.Releasing((empty + lost).toSet(), false) { answer.complete(it) })) releases += answer.await()
+    }
+
+    private suspend fun release() {
+        if (releases.isEmpty()) return
+        val names = releases.take(MAX_RELEASE)
+        cloud.release(names)
+        log.info("returned {}", names.joinToString { it.value })
+        releases.removeAll(names.toSet())
+        gone += names
+        owner.tell(OwnerMessage.Released(names))
+    }
+
+    private companion object {
+        val ROUND = 700.milliseconds
+        val TROUBLE = 1.seconds
+        val FLAVORS_EVERY = 60.seconds
+        val LIST_EVERY = 5.seconds
+        val SHUT = 30.seconds
+        const val MAX_RELEASE = 100
+        const val MAX_NOTED = 40
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -0,0 +1,207 @@
+package umberslip.fleet
+
+import umberslip.agents.Machine
+import umberslip.agents.Room
+import umberslip.cloud.Flavor
+import umberslip.cloud.HostName
+import umberslip.cloud.Offer
+import umberslip.dispatch.Board
+import umberslip.records.Shape
+import umberslip.settings.Tuning
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Where tasks may run; tasks with the same answer are planned for together. */
+data class Where(val types: List<String>?, val zone: String?, val spot: Boolean) {
+    fun allows(offer: Offer): Boolean =
+        (types == null || offer.type in types) && (zone == null || offer.zone == zone) && (spot || !offer.spot)
+}
+
+/** Work that is to be placed or runs already: tasks alike in room and in the time they still need. */
+data class Work(val where: Where, val room: Room, val tasks: Int, val seconds: Double)
+
+data class MachineView(
+    val name: HostName,
+    val offer: Offer,
+    val capacity: Room?,
+    val usable: Boolean,
+    val closing: Boolean,
+    val sick: Boolean,
+    val takenIn: Duration?,
+    val tasks: Int,
+    val running: List<Work>,
+    val idleFor: Duration,
+    val silentFor: Duration?,
+    val leaseOver: Boolean,
+)
+
+/** What the fleet is planned from. */
+class FleetView(val machines: List<MachineView>, val waiting: List<Work>) {
+    companion object {
+        fun of(board: Board, now: Duration): FleetView {
+            val machines = board.machines.values.map { view(it, now) }
+            val waiting = ArrayList<Work>()
+            for (team in board.teams.values) {
+                // What a team's limit does not let start needs no machine.
+                var cpus = team.team.cpusMax?.minus(team.usedCpus) ?: Double.MAX_VALUE
+                for (job in team.jobs()) {
+                    if (job.waiting <= 0 || job.notBefore > now) continue
+                    val byLimit = if (job.room.cpus > 0) (cpus / job.room.cpus).coerceAtMost(1e6).toInt() else job.waiting
+                    val tasks = minOf(job.waiting, byLimit)
+                    if (tasks <= 0) continue
+                    cpus -= tasks * job.room.cpus
+                    waiting += Work(where(job.spec), job.room, tasks, if (job.spec.shape == Shape.DAEMON) LONG else job.expected())
+                }
+            }
+            return FleetView(machines, waiting)
+        }
+
+        private fun where(spec: umberslip.records.JobSpec) = Where(spec.types, spec.zone, spec.spot)
+
+        private fun view(m: Machine, now: Duration): MachineView = MachineView(
+            m.name, Offer(m.type, m.zone, m.spot), m.capacity, m.usable, m.closing, m.sick, m.takenAt?.minus(now), m.assignments.size,
+            m.assignments.values.map { a ->
+                val ran = a.runningSince?.let { (now - it).inWholeMilliseconds / 1000.0 } ?: 0.0
+                val left = if (a.job.spec.shape == Shape.DAEMON) LONG else (a.job.expected() - ran).coerceAtLeast(SOON)
+                Work(where(a.job.spec), a.room, 1, left)
+            },
+            m.idleSince?.let { now - it } ?: Duration.ZERO,
+            m.lastHeard?.let { now - it },
+            m.leaseEnd <= now,
+        )
+
+        private const val LONG = 1e6
+        private const val SOON = 4.0
+    }
+}
+
+/** A machine that was rented and has not reported yet. */
+data class Booting(val name: HostName, val offer: Offer, val since: Duration)
+
+data class Rent(val offer: Offer, val number: Int)
+
+class Plan(val rent: List<Rent>, val unneeded: Set<HostName>)
+
+/**
+ * How many machines of which kind: enough to get the known work done within the drain time, filled
+ * from the cheapest capacity up, whether that is rented already or only could be. Pure.
+ */
+class FleetPlanner(private val tuning: Tuning) {
+    private class Supply(val offer: Offer, val room: Room, val price: Double, val name: HostName?, val up: Boolean, var left: Double, var used: Boolean = false)
+
+    fun plan(view: FleetView, booting: List<Booting>, flavors: Map<String, Flavor>, shut: (Offer) -> Boolean): Plan {
+        fun price(offer: Offer): Double = flavors[offer.type]?.let { (if (offer.spot) it.spotPrice else it.price) / it.cpus.coerceAtLeast(0.1) } ?: Double.MAX_VALUE
+
+        val supply = ArrayList<Supply>()
+        val running = HashMap<HostName, Double>()
+        for (m in view.machines) {
+            val room = m.capacity ?: continue
+            if (m.sick || m.takenIn != null || m.silentFor == null || m.silentFor > SILENT) continue
+            val need = m.running.sumOf { need(it, room) }
+            running[m.name] = need
+            supply += Supply(m.offer, room, price(m.offer), m.name, true, (room.cpus - need).coerceAtLeast(0.0), need > 0)
+        }
+        for (b in booting) {
+            val flavor = flavors[b.offer.type] ?: continue
+            supply += Supply(b.offer, Room.of(flavor), price(b.offer), b.name, false, flavor.cpus)
+        }
+        val offers = flavors.values.flatMap { f -> f.zones.flatMap { z -> listOf(Offer(f.label, z, true), Offer(f.label, z, false)) } }
+            .filter { !shut(it) }.sortedBy(::price)
+        val rent = LinkedHashMap<Offer, Int>()
+        // The most constrained work chooses first.
+        val groups = view.waiting.groupBy { it.where }.entries.sortedBy { (where, _) -> offers.count(where::allows) }
+        for ((where, works) in groups) {
+            // Up machines are filled first, the fullest of the cheapest; then those that boot.
+            var open = works.filter { it.tasks > 0 }.map { it to it.tasks * perTask(it) }
+            val existing = supply.filter { where.allows(it.offer) && it.left > 0 }
+                .sortedWith(compareBy({ it.price > cheapest(offers, where, ::price) * DEAR }, { !it.up }, { !it.used }, { it.price }))
+            val cheap = existing.filter { it.price <= cheapest(offers, where, ::price) * DEAR }
+            open = fill(open, cheap)
+            for (offer in offers.filter(where::allows)) {
+                val total = open.sumOf { it.second }
+                if (total <= 0) break
+                // Dear machines that are up serve before dear ones are rented.
+                if (price(offer) > cheapest(offers, where, ::price) * DEAR) open = fill(open, existing - cheap.toSet())
+                val flavor = flavors.getValue(offer.type)
+                val room = Room.of(flavor)
+                val fitting = open.filter { room.covers(it.first.room) }.sumOf { it.second }
+                if (fitting < flavor.cpus * WORTH) continue
+                val number = ceil(fitting / flavor.cpus - WORTH).toInt().coerceIn(1, MAX_RENT)
+                rent.merge(offer, number, Int::plus)
+                val fresh = List(number) { Supply(offer, room, price(offer), null, false, flavor.cpus) }
+                supply += fresh
+                open = fill(open, fresh)
+            }
+            open = fill(open, existing)
+            // What is left is too little for a machine of its own, unless there is none at all.
+            if (open.isNotEmpty() && supply.none { where.allows(it.offer) && it.used }) {
+                offers.firstOrNull { o -> where.allows(o) && open.any { Room.of(flavors.getValue(o.type)).covers(it.first.room) } }?.let {
+                    rent.merge(it, 1, Int::plus)
+                }
+            }
+        }
+        return Plan(rent.map { (offer, number) -> Rent(offer, number) }, unneeded(view, supply, running))
+    }
+
+    /**
+     * Up machines that no work was planned for, dearest first, as long as the others can take what
+     * runs and waits.
+     */
+    private fun unneeded(view: FleetView, supply: List<Supply>, running: Map<HostName, Double>): Set<HostName> {
+        val up = supply.filter { it.up }
+        val waiting = view.waiting.sumOf { it.tasks * perTask(it) }
+        var slack = up.sumOf { it.room.cpus } - running.values.sum() - waiting
+        val out = HashSet<HostName>()
+        for (s in up.sortedWith(compareBy({ -it.price }, { running[it.name] ?: 0.0 }))) {
+            val name = s.name ?: continue
+            if (slack < s.room.cpus * KEEP_SLACK) continue
+            slack -= s.room.cpus
+            out += name
+        }
+        return out
+    }
+
+    private fun cheapest(offers: List<Offer>, where: Where, price: (Offer) -> Double): Double =
+        offers.filter(where::allows).minOfOrNull(price) ?: Double.MAX_VALUE
+
+    private fun fill(open: List<Pair<Work, Double>>, supply: List<Supply>): List<Pair<Work, Double>> {
+        val left = ArrayList<Pair<Work, Double>>()
+        for ((work, amount) in open) {
+            var rest = amount
+            for (s in supply) {
+                if (rest <= 0) break
+                if (s.left <= 0 || !s.room.covers(work.room)) continue
+                val weight = weight(work.room, s.room)
+                val taken = minOf(s.left, rest * weight)
+                s.left -= taken
+                s.used = true
+                rest -= taken / weight
+            }
+            if (rest > 1e-6) left += work to rest
+        }
+        return left
+    }
+
+    /** Processors that a task keeps busy over the drain time. */
+    private fun perTask(work: Work): Double = work.room.cpus.coerceAtLeast(0.1) * minOf(1.0, work.seconds.seconds / tuning.drain)
+
+    /** Memory counts as the processors that it blocks. */
+    private fun weight(task: Room, machine: Room): Double {
+        val byMemory = if (machine.memoryGb > 0) task.memoryGb / machine.memoryGb * machine.cpus else 0.0
+        return maxOf(1.0, byMemory / task.cpus.coerceAtLeast(0.1))
+    }
+
+    private fun need(work: Work, room: Room): Double = work.tasks * perTask(work) * weight(work.room, room)
+
+    private companion object {
+        /** From this times the cheapest price on, a machine is dear: kept no longer than needed. */
+        const val DEAR = 1.5
+
+        /** The share of a machine that must be needed before one more is rented. */
+        const val WORTH = 0.3
+        const val KEEP_SLACK = 1.15
+        const val MAX_RENT = 20
+        val SILENT = 6.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/http/Documents.kt
@@ -0,0 +1,164 @@
+package umberslip.http
+
+import com.fasterxml.jackson.core.JsonFactory
+import com.fasterxml.jackson.core.JsonGenerator
+import com.fasterxml.jackson.core.JsonParser
+import com.fasterxml.jackson.core.JsonToken
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.math.BigInteger
+
+/** A document, or a field of one, is not what the protocol says it is. */
+class Malformed(message: String) : Exception(message)
+
+/** Bodies are CBOR and settings JSON; both are read to, and written from, plain maps and lists. */
+object Documents {
+    private val cbor = CBORFactory()
+    private val json = JsonFactory()
+
+    fun readCbor(bytes: ByteArray): Any? = read { cbor.createParser(bytes) }
+
+    fun readJson(text: String): Any? = read { json.createParser(text) }
+
+    fun writeCbor(value: Any?): ByteArray {
+        val out = ByteArrayOutputStream(256)
+        cbor.createGenerator(out).use { write(it, value) }
+        return out.toByteArray()
+    }
+
+    /** The size that the protocol's limits count: that of the JSON form. */
+    fun jsonSize(value: Any?): Int {
+        val out = ByteArrayOutputStream(256)
+        json.createGenerator(out).use { write(it, value) }
+        return out.size()
+    }
+
+    private fun read(open: () -> JsonParser): Any? = try {
+        open().use { parser ->
+            val first = parser.nextToken() ?: throw Malformed("empty document")
+            val value = value(parser, first)
+            if (parser.nextToken() != null) throw Malformed("more than one document")
+            value
+        }
+    } catch (e: IOException) {
+        throw Malformed("unreadable document: ${e.message?.lineSequence()?.first()}")
+    } catch (e: ArithmeticException) {
+        throw Malformed("number out of range")
+    }
+
+    private fun value(parser: JsonParser, token: JsonToken): Any? = when (token) {
+        JsonToken.START_OBJECT -> {
+            val map = LinkedHashMap<String, Any?>()
+            while (true) {
+                val name = parser.nextToken() ?: throw Malformed("unfinished map")
+                if (name == JsonToken.END_OBJECT) break
+                if (name != JsonToken.FIELD_NAME) throw Malformed("a map's key is not text")
+                val key = parser.currentName()
+                map[key] = value(parser, parser.nextToken() ?: throw Malformed("unfinished map"))
+            }
+            map
+        }
+        JsonToken.START_ARRAY -> {
+            val list = ArrayList<Any?>()
+            while (true) {
+                val next = parser.nextToken() ?: throw Malformed("unfinished list")
+                if (next == JsonToken.END_ARRAY) break
+                list.add(value(parser, next))
+            }
+            list
+        }
+        JsonToken.VALUE_STRING -> parser.text
+        JsonToken.VALUE_NUMBER_INT -> if (parser.numberType == JsonParser.NumberType.BIG_INTEGER) parser.bigIntegerValue else parser.longValue
+        JsonToken.VALUE_NUMBER_FLOAT -> parser.doubleValue
+        JsonToken.VALUE_TRUE -> true
+        JsonToken.VALUE_FALSE -> false
+        JsonToken.VALUE_NULL -> null
+        else -> throw Malformed("unexpected $token")
+    }
+
+    private fun write(out: JsonGenerator, value: Any?) {
+        when (value) {
+            null -> out.writeNull()
+            is String -> out.writeString(value)
+            is Int -> out.writeNumber(value)
+            is Long -> out.writeNumber(value)
+            is BigInteger -> out.writeNumber(value)
+            is Double -> out.writeNumber(value)
+            is Boolean -> out.writeBoolean(value)
+            is Map<*, *> -> {
+                out.writeStartObject()
+                for ((key, item) in value) {
+                    out.writeFieldName(key as String)
+                    write(out, item)
+                }
+                out.writeEndObject()
+            }
+            is List<*> -> {
+                out.writeStartArray()
+                for (item in value) write(out, item)
+                out.writeEndArray()
+            }
+            else -> throw IllegalArgumentException("cannot be written: ${value::class}")
+        }
+    }
+}
+
+/** A map whose fields are asked for by name and kind; what is missing or wrong is named in the complaint. */
+class Fields private constructor(private val map: Map<*, *>, private val where: String) {
+    val names: Set<String> get() = map.keys.filterIsInstance<String>().toSet()
+
+    fun has(name: String): Boolean = map[name] != null
+
+    fun text(name: String): String = textOrNull(name) ?: missing(name)
+
+    fun textOrNull(name: String): String? = map[name]?.let { it as? String ?: wrong(name, "text") }
+
+    fun long(name: String): Long = longOrNull(name) ?: missing(name)
+
+    fun longOrNull(name: String): Long? = when (val it = map[name]) {
+        null -> null
+        is Long -> it
+        else -> wrong(name, "a whole number")
+    }
+
+    fun number(name: String): Double = numberOrNull(name) ?: missing(name)
+
+    fun numberOrNull(name: String): Double? = when (val it = map[name]) {
+        null -> null
+        is Double -> if (it.isFinite()) it else wrong(name, "a finite number")
+        is Long -> it.toDouble()
+        is BigInteger -> it.toDouble()
+        else -> wrong(name, "a number")
+    }
+
+    fun flag(name: String): Boolean = flagOrNull(name) ?: missing(name)
+
+    fun flagOrNull(name: String): Boolean? = map[name]?.let { it as? Boolean ?: wrong(name, "true or false") }
+
+    fun map(name: String): Fields = (map[name] ?: missing(name)).let { of(it, path(name)) }
+
+    fun list(name: String): List<*> = listOrNull(name) ?: missing(name)
+
+    fun listOrNull(name: String): List<*>? = map[name]?.let { it as? List<*> ?: wrong(name, "a list") }
+
+    fun maps(name: String): List<Fields> = list(name).mapIndexed { i, it -> of(it, "${path(name)}[$i]") }
+
+    fun mapsOrEmpty(name: String): List<Fields> = if (has(name)) maps(name) else emptyList()
+
+    fun textsOrNull(name: String): List<String>? =
+        listOrNull(name)?.map { it as? String ?: wrong(name, "a list of texts") }
+
+    fun path(name: String): String = if (where.isEmpty()) name else "$where.$name"
+
+    fun raw(): Map<*, *> = map
+
+    private fun missing(name: String): Nothing = throw Malformed("${path(name)} is missing")
+
+    private fun wrong(name: String, kind: String): Nothing = throw Malformed("${path(name)} is not $kind")
+
+    companion object {
+        fun of(value: Any?, where: String = ""): Fields =
+            Fields(value as? Map<*, *> ?: throw Malformed("${where.ifEmpty { "document" }} is not a map"), where)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/ownership/Ownership.kt
@@ -0,0 +1,205 @@
+package umberslip.ownership
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import umberslip.actor.Clock
+import umberslip.http.NoAnswer
+import umberslip.http.Unavailable
+import umberslip.records.Keys
+import umberslip.records.OwnerRecord
+import umberslip.records.Reader
+import umberslip.records.RecordView
+import umberslip.records.Term
+import umberslip.settings.Timings
+import umberslip.state.Guard
+import umberslip.state.Hold
+import umberslip.state.Stamp
+import umberslip.state.StateService
+import umberslip.state.TxnResult
+import umberslip.state.Write
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What this controller is entitled to, and until when; time is an input. */
+class Authority(private val timings: Timings) {
+    var term: Term? = null
+        private set
+    var stamp: Stamp? = null
+        private set
+    var hold: Hold? = null
+        private set
+    private var renewed: Duration = Duration.ZERO
+    private var read: Duration = Duration.ZERO
+    private var gone = false
+
+    val owns: Boolean get() = term != null
+
+    /** Set when a report or a refused write shows that somebody else owns. */
+    val isLost: Boolean get() = gone
+
+    fun won(term: Term, stamp: Stamp, hold: Hold, sent: Duration) {
+        this.term = term
+        this.stamp = stamp
+        this.hold = hold
+        renewed = sent
+        read = sent
+        gone = false
+    }
+
+    fun end() {
+        term = null
+        stamp = null
+        hold = null
+        gone = false
+    }
+
+    /** Counted from when the renewal was sent: the state service cannot have had it earlier. */
+    fun renewed(sent: Duration) {
+        renewed = maxOf(renewed, sent)
+    }
+
+    /** A read of the records that began then was answered, so cancellations told before are known. */
+    fun read(began: Duration) {
+        read = maxOf(read, began)
+    }
+
+    fun lost(why: String) {
+        if (term != null && !gone) LOG.warn("ownership is lost: {}", why)
+        gone = true
+    }
+
+    fun outranked() = lost("a worker has seen a higher term")
+
+    fun mayStart(now: Duration): Boolean = owns && !gone && now < renewed + timings.hold - timings.margin
+
+    /**
+     * Running work outlives a short outage: reports are answered, with no starts, for a bounded time.
+     * It is counted from the older of renewal and read, since a cancellation is only heard by reading.
+     */
+    fun mayAnswer(now: Duration): Boolean = owns && !gone && now < minOf(renewed, read) + timings.hold + timings.grace
+
+    private companion object {
+        val LOG = LoggerFactory.getLogger("umberslip.ownership")
+    }
+}
+
+/** Called on the actors' thread. */
+interface OwnershipListener {
+    fun tookOver(records: RecordView, silentUntil: Duration)
+    fun steppedDown()
+}
+
+/** Takes, renews and gives up the one owner's record. */
+class Ownership(
+    private val scope: CoroutineScope,
+    private val member: String,
+    private val state: StateService,
+    private val reader: Reader,
+    private val authority: Authority,
+    private val timings: Timings,
+    private val clock: Clock,
+    private val listener: OwnershipListener,
+) {
+    private val log = LoggerFactory.getLogger("umberslip.ownership")
+
+    fun start(): Job = scope.launch {
+        while (true) {
+            try {
+                if (authority.owns) own() else follow()
+            } catch (e: Unavailable) {
+                log.debug("{}", e.message)
+                delay(RETRY)
+            } catch (e: NoAnswer) {
+                log.debug("{}", e.message)
+                delay(RETRY)
+            }
+        }
+    }
+
+    private suspend fun follow() {
+        val records = reader.confirm()
+        if (records == null) {
+            delay(RETRY)
+            return
+        }
+        val owner = records.owner
+        when {
+            owner == null -> seize(records)
+            owner.value.member == member -> {
+                // A process of this name runs once at a time, so the one that took this hold has
+                // ended: its hold need not be waited out. Its late writes fail on the record's stamp.
+                log.info("ends the hold of this member's former process, term {}", owner.value.term.value)
+                state.endHold(owner.value.hold)
+                reader.confirm()
+            }
+            else -> delay(WATCH)
+        }
+    }
+
+    private suspend fun seize(records: RecordView) {
+        val known = records.term
+        val term = known?.value?.next() ?: Term(1)
+        val sent = clock.now()
+        val hold = state.openHold(timings.hold)
+        val result = state.txn(
+            listOf(Guard(Keys.OWNER, Stamp.NONE), Guard(Keys.TERM, known?.stamp ?: Stamp.NONE)),
+            listOf(
+                Write.Put(Keys.OWNER, OwnerRecord(member, term, hold).toMap(), hold),
+                Write.Put(Keys.TERM, mapOf("term" to term.value)),
+            ),
+        )
+        if (result !is TxnResult.Applied) {
+            if (result is TxnResult.Refused) state.endHold(hold)
+            reader.confirm()
+            return
+        }
+        log.info("took the owner's record under term {}", term.value)
+        authority.won(term, result.stamp, hold, sent)
+        val took = clock.now()
+        // Everything written before the record was taken is in a read begun afterwards; whatever a
+        // former owner writes later fails on its guard.
+        val renewing = scope.launch { while (true) { renewOnce(); delay(timings.hold / 5) } }
+        try {
+            while (!authority.isLost) {
+                val read = reader.confirm()
+                if (read != null) {
+                    listener.tookOver(read, took + timings.stretched(timings.grace + timings.lease) + timings.margin * 2)
+                    return
+                }
+                delay(RETRY)
+            }
+        } finally {
+            renewing.cancel()
+        }
+    }
+
+    private suspend fun own() {
+        if (!authority.isLost) renewOnce()
+        if (authority.isLost) {
+            authority.end()
+            listener.steppedDown()
+        } else {
+            delay(timings.hold / 5)
+        }
+    }
+
+    private suspend fun renewOnce() {
+        val hold = authority.hold ?: return
+        val sent = clock.now()
+        try {
+            if (state.renew(hold)) authority.renewed(sent) else authority.lost("its hold has ended")
+        } catch (e: Unavailable) {
+            log.debug("not renewed: {}", e.message)
+        } catch (e: NoAnswer) {
+            log.debug("not renewed: {}", e.message)
+        }
+    }
+
+    private companion object {
+        val RETRY = 200.milliseconds
+        val WATCH = 250.milliseconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/records/Records.kt
@@ -0,0 +1,126 @@
+package umberslip.records
+
+import umberslip.cloud.HostName
+import umberslip.http.Fields
+import umberslip.http.Malformed
+import umberslip.state.Hold
+import umberslip.state.Stamp
+import java.time.Instant
+import java.util.BitSet
+
+/** The owner's term: rises with every takeover, for ever. Workers know it as the warrant. */
+@JvmInline
+value class Term(val value: Long) : Comparable<Term> {
+    override fun compareTo(other: Term): Int = value.compareTo(other.value)
+    fun next(): Term = Term(value + 1)
+}
+
+/**
+ * The keys. All that a controller replicates lies under [ROOT]; ends of jobs lie outside it, since
+ * they are kept for ever and read one by one.
+ */
+object Keys {
+    const val ROOT = "u/"
+    const val OWNER = "u/owner"
+    const val TERM = "u/term"
+    const val FLEET = "u/fleet"
+    private const val JOB = "u/job/"
+    private const val CHUNK = "u/run/"
+    private const val END = "end/"
+
+    fun job(id: JobId): String = JOB + id.value
+    fun chunk(id: JobId, chunk: Int): String = "$CHUNK${id.value}/$chunk"
+    fun end(id: JobId): String = END + id.value
+
+    fun asJob(key: String): JobId? = if (key.startsWith(JOB)) JobId.parse(key.substring(JOB.length)) else null
+
+    fun asChunk(key: String): Pair<JobId, Int>? =
+        if (key.startsWith(CHUNK)) TaskId.parse(key.substring(CHUNK.length))?.let { it.job to it.index } else null
+}
+
+/** Who owns, under which term, and under which hold of the state service. */
+data class OwnerRecord(val member: String, val term: Term, val hold: Hold) {
+    fun toMap(): Map<String, Any?> = mapOf("member" to member, "term" to term.value, "hold" to hold.id)
+
+    companion object {
+        fun parse(data: Any?): OwnerRecord = Fields.of(data, Keys.OWNER).let {
+            OwnerRecord(it.text("member"), Term(it.long("term")), Hold(it.long("hold")))
+        }
+    }
+}
+
+/** An accepted job that has not ended, or one told as cancelled whose tasks are not gone yet. */
+data class JobRecord(val spec: JobSpec, val submitted: Instant, val cancelled: Boolean) {
+    fun toMap(): Map<String, Any?> =
+        mapOf("spec" to spec.toMap(), "submitted_ms" to submitted.toEpochMilli(), "cancelled" to cancelled)
+
+    companion object {
+        fun parse(data: Any?): JobRecord = Fields.of(data).let {
+            JobRecord(JobSpec.parse(it.map("spec")), Instant.ofEpochMilli(it.long("submitted_ms")), it.flag("cancelled"))
+        }
+    }
+}
+
+enum class End(val word: String) { DONE("done"), CANCELLED("aborted") }
+
+/** How a job ended; never changed once written. */
+data class EndRecord(val end: End, val pieces: Int) {
+    fun toMap(): Map<String, Any?> = mapOf("status" to end.word, "pieces" to pieces)
+
+    companion object {
+        fun parse(data: Any?): EndRecord = Fields.of(data).let { f ->
+            EndRecord(End.entries.find { it.word == f.text("status") } ?: throw Malformed("unknown end"), f.long("pieces").toInt())
+        }
+    }
+}
+
+/** A recorded start: the task may be on that machine until the contrary is proven. */
+data class Placement(val index: Int, val attempt: Long, val host: HostName)
+
+/**
+ * The progress of a run of a job's tasks: which are done, which are placed, and the highest attempt
+ * number ever used there, so that numbers only rise.
+ */
+data class ChunkRecord(val done: BitSet, val placed: List<Placement>, val lastAttempt: Long) {
+    fun toMap(): Map<String, Any?> = mapOf(
+        "done" to hex(done),
+        "placed" to placed.map { listOf(it.index, it.attempt, it.host.value) },
+        "last" to lastAttempt,
+    )
+
+    companion object {
+        private const val ENTRY_BYTES = 34
+        private const val FIXED_BYTES = 200
+
+        /** As many tasks as surely fit into one value. */
+        fun tasksPerChunk(valueBytes: Int): Int = ((valueBytes - FIXED_BYTES) / ENTRY_BYTES).coerceIn(16, 1024)
+
+        fun parse(data: Any?): ChunkRecord = Fields.of(data).let { f ->
+            ChunkRecord(
+                unhex(f.text("done")),
+                f.list("placed").map {
+                    val row = it as? List<*>
+                    val index = row?.getOrNull(0) as? Long
+                    val attempt = row?.getOrNull(1) as? Long
+                    val host = row?.getOrNull(2) as? String
+                    if (index == null || attempt == null || host == null) throw Malformed("a placement is not [task, attempt, host]")
+                    Placement(index.toInt(), attempt, HostName(host))
+                },
+                f.long("last"),
+            )
+        }
+
+        private fun hex(bits: BitSet): String = bits.toByteArray().joinToString("") { "%02x".format(it) }
+
+        private fun unhex(text: String): BitSet {
+            if (text.length % 2 != 0) throw Malformed("odd number of hex digits")
+            return BitSet.valueOf(
+                ByteArray(text.length / 2) {
+                    (text.substring(it * 2, it * 2 + 2).toIntOrNull(16) ?: throw Malformed("not hex")).toByte()
+                },
+            )
+        }
+    }
+}
+
+class Stamped<T>(val value: T, val stamp: Stamp)
--- /dev/null
+++ b/src/main/kotlin/umberslip/records/Replica.kt
@@ -0,0 +1,155 @@
+package umberslip.records
+
+import org.slf4j.LoggerFactory
+import umberslip.http.Fields
+import umberslip.http.Malformed
+import umberslip.state.Change
+import umberslip.state.Entry
+import umberslip.state.Stamp
+
+/** What a change of the records means to those who act on them. */
+sealed interface RecordEvent {
+    data class JobChanged(val id: JobId, val job: Stamped<JobRecord>) : RecordEvent
+
+    /** The job's record is gone: it ended, and how is told by its end's record. */
+    data class JobGone(val id: JobId) : RecordEvent
+    data class OwnerChanged(val owner: Stamped<OwnerRecord>?) : RecordEvent
+}
+
+/** A reader's copy of the records, to look at and not to change. */
+interface RecordView {
+    val owner: Stamped<OwnerRecord>?
+    val term: Stamped<Term>?
+    val fleet: Any?
+
+    fun job(id: JobId): Stamped<JobRecord>?
+    fun jobs(): Map<JobId, Stamped<JobRecord>>
+    fun chunks(): Map<JobId, Map<Int, Stamped<ChunkRecord>>>
+
+    /** How many tasks of a job are done, and how many placed. */
+    fun progress(id: JobId): Pair<Int, Int>
+}
+
+/** This controller's copy of the records of all jobs that have not ended. Pure state; the reading is the [Reader]'s. */
+class Replica : RecordView {
+    private val log = LoggerFactory.getLogger("umberslip.records")
+    private val jobs = HashMap<JobId, Stamped<JobRecord>>()
+    private val chunks = HashMap<JobId, HashMap<Int, Stamped<ChunkRecord>>>()
+    private val corrupt = HashSet<String>()
+
+    override var owner: Stamped<OwnerRecord>? = null
+        private set
+    override var term: Stamped<Term>? = null
+        private set
+    override var fleet: Any? = null
+        private set
+
+    override fun job(id: JobId): Stamped<JobRecord>? = jobs[id]
+
+    override fun jobs(): Map<JobId, Stamped<JobRecord>> = jobs
+
+    override fun chunks(): Map<JobId, Map<Int, Stamped<ChunkRecord>>> = chunks
+
+    override fun progress(id: JobId): Pair<Int, Int> {
+        val all = chunks[id]?.values ?: return 0 to 0
+        return all.sumOf { it.value.done.cardinality() } to all.sumOf { it.value.placed.size }
+    }
+
+    fun apply(change: Change): RecordEvent? = when (change) {
+        is Change.Put -> put(Entry(change.key, change.data, change.stamp))
+        is Change.Drop -> drop(change.key, change.stamp)
+    }
+
+    /** Takes all keys as read page by page; what is not among them is gone. */
+    fun replace(entries: List<Entry>): List<RecordEvent> {
+        val seen = entries.mapTo(HashSet()) { it.key }
+        val gone = ArrayList<String>()
+        jobs.keys.forEach { gone += Keys.job(it) }
+        chunks.forEach { (id, all) -> all.keys.forEach { gone += Keys.chunk(id, it) } }
+        gone += Keys.OWNER
+        return gone.filter { it !in seen }.mapNotNull { drop(it, Stamp(Long.MAX_VALUE)) } + entries.mapNotNull(::put)
+    }
+
+    private fun put(entry: Entry): RecordEvent? = try {
+        val jobId = Keys.asJob(entry.key)
+        val chunk = if (jobId == null) Keys.asChunk(entry.key) else null
+        when {
+            jobId != null -> {
+                val known = jobs[jobId]
+                if (known != null && known.stamp.value >= entry.stamp.value) {
+                    null
+                } else {
+                    val job = Stamped(JobRecord.parse(entry.data), entry.stamp)
+                    jobs[jobId] = job
+                    RecordEvent.JobChanged(jobId, job)
+                }
+            }
+            chunk != null -> {
+                val all = chunks.getOrPut(chunk.first) { HashMap() }
+                val known = all[chunk.second]
+                if (known == null || known.stamp.value < entry.stamp.value) {
+                    all[chunk.second] = Stamped(ChunkRecord.parse(entry.data), entry.stamp)
+                }
+                null
+            }
+            entry.key == Keys.OWNER -> {
+                val known = owner
+                if (known != null && known.stamp.value >= entry.stamp.value) {
+                    null
+                } else {
+                    owner = Stamped(OwnerRecord.parse(entry.data), entry.stamp)
+                    RecordEvent.OwnerChanged(owner)
+                }
+            }
+            entry.key == Keys.TERM -> {
+                term = Stamped(Term(Fields.of(entry.data, Keys.TERM).long("term")), entry.stamp)
+                null
+            }
+            entry.key == Keys.FLEET -> {
+                fleet = entry.data
+                null
+            }
+            else -> null
+        }
+    } catch (e: Malformed) {
+        // Reported, never guessed at: the key is left alone and its job neither runs nor is forgotten.
+        if (corrupt.add(entry.key)) log.error("record {} at {} cannot be read: {}", entry.key, entry.stamp.value, e.message)
+        null
+    }
+
+    private fun drop(key: String, stamp: Stamp): RecordEvent? {
+        corrupt.remove(key)
+        val jobId = Keys.asJob(key)
+        val chunk = if (jobId == null) Keys.asChunk(key) else null
+        return when {
+            jobId != null -> {
+                val job = jobs[jobId]?.takeIf { it.stamp.value < stamp.value }
+                if (job == null) {
+                    null
+                } else {
+                    jobs.remove(jobId)
+                    RecordEvent.JobGone(jobId)
+                }
+            }
+            chunk != null -> {
+                val all = chunks[chunk.first]
+                if (all != null) {
+                    val known = all[chunk.second]
+                    if (known != null && known.stamp.value < stamp.value) all.remove(chunk.second)
+                    if (all.isEmpty()) chunks.remove(chunk.first)
+                }
+                null
+            }
+            key == Keys.OWNER -> {
+                val known = owner
+                if (known != null && known.stamp.value < stamp.value) {
+                    owner = null
+                    RecordEvent.OwnerChanged(null)
+                } else {
+                    null
+                }
+            }
+            else -> null
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/settings/Settings.kt
@@ -0,0 +1,142 @@
+package umberslip.settings
+
+import umberslip.http.Documents
+import umberslip.http.Fields
+import umberslip.http.Malformed
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A setting is missing or makes no sense; the message names it. */
+class BadSettings(message: String) : Exception(message)
+
+data class Peer(val member: String, val area: String, val address: InetSocketAddress)
+
+/** What a team is guaranteed and limited to; null where the settings say 0, which means none. */
+data class TeamSettings(
+    val name: String,
+    val cpus: Double,
+    val gpus: Double,
+    val cpusMax: Double?,
+    val gpusMax: Double?,
+)
+
+sealed interface Objective {
+    data class Finished(val jobClass: String, val within: Duration) : Objective
+    data class Deadline(val jobClass: String, val times: Double) : Objective
+    data class Guarantee(val within: Duration) : Objective
+}
+
+data class WorkerSettings(
+    val report: Duration,
+    val lease: Duration,
+    val gangWait: Duration,
+    val gangPeer: Duration,
+    val cancel: Duration,
+)
+
+data class StateSettings(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
+
+/** The platform's settings file, checked. */
+data class Settings(
+    val member: String,
+    val area: String,
+    val bind: InetSocketAddress,
+    val peerListen: InetSocketAddress,
+    val known: List<Peer>,
+    val cloud: InetSocketAddress,
+    val state: InetSocketAddress,
+    val nodes: Int,
+    val zones: List<String>,
+    val teams: List<TeamSettings>,
+    val objectives: List<Objective>,
+    val workers: WorkerSettings,
+    val stateLimits: StateSettings,
+    val cloudRps: Double,
+    val listLag: Duration,
+    val sockets: Int,
+    val skew: Duration,
+) {
+    companion object {
+        fun parse(json: String): Settings = try {
+            read(Fields.of(Documents.readJson(json)))
+        } catch (e: Malformed) {
+            throw BadSettings(e.message ?: "malformed settings")
+        }
+
+        private fun read(f: Fields): Settings {
+            val s = f.map("settings")
+            val workers = s.map("workers")
+            val state = s.map("state")
+            val cloud = s.map("cloud")
+            val teams = s.maps("teams").map(::team)
+            if (teams.isEmpty()) throw BadSettings("settings.teams is empty")
+            if (teams.map { it.name }.toSet().size != teams.size) throw BadSettings("settings.teams names a team twice")
+            return Settings(
+                member = f.text("member").ifEmpty { throw BadSettings("member is empty") },
+                area = f.text("area"),
+                bind = address(f, "bind"),
+                peerListen = address(f, "peer_listen"),
+                known = f.maps("known").map { Peer(it.text("member"), it.text("area"), address(it, "addr")) },
+                cloud = address(f.map("endpoints"), "cloud"),
+                state = address(f.map("endpoints"), "state"),
+                nodes = positive(s, "nodes").toInt(),
+                zones = s.textsOrNull("zones") ?: throw BadSettings("settings.zones is missing"),
+                teams = teams,
+                objectives = s.mapsOrEmpty("objectives").mapNotNull(::objective),
+                workers = WorkerSettings(
+                    positive(workers, "report_s").seconds,
+                    positive(workers, "lease_s").seconds,
+                    positive(workers, "gang_wait_s").seconds,
+                    positive(workers, "gang_peer_s").seconds,
+                    positive(workers, "cancel_s").seconds,
+                ),
+                stateLimits = StateSettings(
+                    positive(state, "rps"),
+                    positive(state, "write_rps"),
+                    (positive(state, "value_kb") * 1024).toInt(),
+                    positive(state, "txn_ops").toInt().also { if (it < 4) throw BadSettings("settings.state.txn_ops is below 4") },
+                ),
+                cloudRps = positive(cloud, "rps"),
+                listLag = positive(cloud, "list_lag_s").seconds,
+                sockets = positive(s.map("quota"), "sockets").toInt().also {
+                    if (it < 40) throw BadSettings("settings.quota.sockets is below 40")
+                },
+                skew = (s.numberOrNull("skew_ms") ?: 0.0).milliseconds,
+            )
+        }
+
+        private fun team(f: Fields): TeamSettings = TeamSettings(
+            f.text("name"),
+            notNegative(f, "cpus"),
+            notNegative(f, "gpus"),
+            notNegative(f, "cpus_max").takeIf { it > 0 },
+            notNegative(f, "gpus_max").takeIf { it > 0 },
+        )
+
+        private fun objective(f: Fields): Objective? = when (f.textOrNull("kind")) {
+            "finished" -> Objective.Finished(f.text("class"), positive(f, "within_s").seconds)
+            "deadline" -> Objective.Deadline(f.text("class"), f.numberOrNull("times") ?: 1.0)
+            "guarantee" -> Objective.Guarantee(positive(f, "within_s").seconds)
+            else -> null
+        }
+
+        private fun positive(f: Fields, name: String): Double =
+            f.number(name).also { if (it <= 0) throw BadSettings("${f.path(name)} must be above 0") }
+
+        private fun notNegative(f: Fields, name: String): Double =
+            (f.numberOrNull(name) ?: 0.0).also { if (it < 0) throw BadSettings("${f.path(name)} must not be below 0") }
+
+        private fun address(f: Fields, name: String): InetSocketAddress {
+            val text = f.text(name)
+            val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..65535 }
+            val host = text.substringBeforeLast(':')
+            // Only numbers: there are no name look-ups where controllers run.
+            if (port == null || !IPV4.matches(host)) throw BadSettings("${f.path(name)} is not an IPv4 address and port: $text")
+            return InetSocketAddress(host, port)
+        }
+
+        private val IPV4 = Regex("""(\d{1,3})(\.\d{1,3}){3}""")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/settings/Tuning.kt
@@ -0,0 +1,83 @@
+package umberslip.settings
+
+import com.electronwill.nightconfig.core.UnmodifiableConfig
+import com.electronwill.nightconfig.core.io.ParsingException
+import com.electronwill.nightconfig.toml.TomlParser
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The operators' own settings (TOML); every one has a default. */
+data class Tuning(
+    /** How long the owner's record outlives its last renewal. */
+    val hold: Duration = 4.seconds,
+    /** Set aside for clock drift and late timers wherever two clocks must agree on an end. */
+    val margin: Duration = 1.seconds,
+    /** How long one round of placing may take before others get their turn. */
+    val roundBudget: Duration = 8.milliseconds,
+    /** Enough machines are kept to finish the known work in about this time. */
+    val drain: Duration = 40.seconds,
+    /** A machine that is not needed is returned after this long. */
+    val idle: Duration = 15.seconds,
+) {
+    companion object {
+        fun parse(toml: String): Tuning {
+            val config = try {
+                TomlParser().parse(toml)
+            } catch (e: ParsingException) {
+                throw BadSettings("operators' settings: ${e.message}")
+            }
+            val known = mapOf(
+                "ownership" to setOf("hold_s", "margin_s"),
+                "dispatch" to setOf("round_budget_ms"),
+                "fleet" to setOf("drain_s", "idle_s"),
+            )
+            for (section in config.entrySet()) {
+                val names = known[section.key] ?: throw BadSettings("operators' settings: unknown section ${section.key}")
+                val table = section.getRawValue<Any?>() as? UnmodifiableConfig
+                    ?: throw BadSettings("operators' settings: ${section.key} is not a section")
+                for (entry in table.entrySet()) {
+                    if (entry.key !in names) throw BadSettings("operators' settings: unknown ${section.key}.${entry.key}")
+                }
+            }
+            fun number(path: String): Double? = when (val it = config.get<Any?>(path)) {
+                null -> null
+                is Number -> it.toDouble().also { n -> if (n <= 0) throw BadSettings("operators' settings: $path must be above 0") }
+                else -> throw BadSettings("operators' settings: $path is not a number")
+            }
+            val d = Tuning()
+            return Tuning(
+                hold = number("ownership.hold_s")?.seconds ?: d.hold,
+                margin = number("ownership.margin_s")?.seconds ?: d.margin,
+                roundBudget = number("dispatch.round_budget_ms")?.milliseconds ?: d.roundBudget,
+                drain = number("fleet.drain_s")?.seconds ?: d.drain,
+                idle = number("fleet.idle_s")?.seconds ?: d.idle,
+            )
+        }
+    }
+}
+
+/**
+ * The times that safety rests on.
+ *
+ * An owner that can no longer renew may go on answering reports for [grace], so that running work
+ * survives a short outage. A cancellation may meanwhile be told by another controller, and bites at
+ * the latest once the leases renewed by those answers have run out: hold + grace + lease + margin
+ * must fit into the time that a cancellation has.
+ */
+class Timings(workers: WorkerSettings, tuning: Tuning) {
+    val hold: Duration = tuning.hold
+    val margin: Duration = tuning.margin
+    val lease: Duration = workers.lease
+    val grace: Duration = workers.cancel - workers.lease - hold - margin * 2
+
+    init {
+        if (grace < Duration.ZERO) {
+            throw BadSettings("ownership.hold_s is too long: with settings.workers.lease_s it must fit into settings.workers.cancel_s")
+        }
+        if (hold < margin * 2) throw BadSettings("ownership.hold_s must be at least twice ownership.margin_s")
+    }
+
+    /** The clocks of two machines drift apart by at most this share. */
+    fun stretched(time: Duration): Duration = time * 1.001
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/state/StateService.kt
@@ -0,0 +1,196 @@
+package umberslip.state
+
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.coroutines.delay
+import umberslip.actor.Clock
+import umberslip.http.Fields
+import umberslip.http.HttpClient
+import umberslip.http.Malformed
+import umberslip.http.NoAnswer
+import umberslip.http.Reply
+import umberslip.http.Unavailable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A lease of the state service. */
+@JvmInline
+value class Hold(val id: Long)
+
+/** The revision at which a key last changed; 0 where there is no such key. */
+@JvmInline
+value class Stamp(val value: Long) {
+    companion object {
+        val NONE = Stamp(0)
+    }
+}
+
+data class Guard(val key: String, val stamp: Stamp)
+
+sealed interface Write {
+    val key: String
+
+    data class Put(override val key: String, val data: Map<String, Any?>, val hold: Hold? = null) : Write
+    data class Drop(override val key: String) : Write
+}
+
+data class Entry(val key: String, val data: Any?, val stamp: Stamp)
+
+sealed interface Change {
+    val key: String
+    val stamp: Stamp
+
+    data class Put(override val key: String, val data: Any?, override val stamp: Stamp) : Change
+    data class Drop(override val key: String, override val stamp: Stamp) : Change
+}
+
+class Page(val entries: List<Entry>, val more: Boolean, val epoch: Long)
+
+class Changes(val epoch: Long, val changes: List<Change>)
+
+sealed interface TxnResult {
+    data class Applied(val stamp: Stamp) : TxnResult
+    data class Refused(val failed: List<String>) : TxnResult
+
+    /** A put named a hold that has ended. */
+    data object NoHold : TxnResult
+}
+
+/**
+ * The state service by its published protocol. Every call may throw [Unavailable] (certainly not
+ * carried out) or [NoAnswer] (carried out or not, or later).
+ */
+interface StateService {
+    suspend fun get(key: String): Entry?
+    suspend fun list(prefix: String, after: String?): Page
+
+    /** Null where [after] is too old and the keys must be read again. */
+    suspend fun changes(prefix: String, after: Long): Changes?
+    suspend fun txn(guards: List<Guard>, writes: List<Write>): TxnResult
+    suspend fun openHold(ttl: Duration): Hold
+
+    /** False once the hold has ended. */
+    suspend fun renew(hold: Hold): Boolean
+    suspend fun endHold(hold: Hold)
+}
+
+/** Keeps to a rate per second with bursts of one second's worth; urgent takers may go into debt. */
+class Pacer(private val rate: Double, private val clock: Clock) {
+    private var tokens = rate
+    private var last = clock.now()
+
+    suspend fun take(amount: Int, urgent: Boolean) {
+        refill()
+        tokens -= amount
+        if (tokens < 0 && !urgent) delay((-tokens / rate).seconds)
+    }
+
+    /** How long until [amount] could be taken without waiting. */
+    fun wait(amount: Int): Duration {
+        refill()
+        return if (tokens >= amount) Duration.ZERO else ((amount - tokens) / rate).seconds
+    }
+
+    fun available(): Int {
+        refill()
+        return tokens.toInt()
+    }
+
+    private fun refill() {
+        val now = clock.now()
+        tokens = minOf(rate, tokens + (now - last).inWholeMicroseconds / 1e6 * rate)
+        last = now
+    }
+}
+
+class HttpStateService(private val http: HttpClient, private val requests: Pacer) : StateService {
+    override suspend fun get(key: String): Entry? {
+        val reply = call(HttpMethod.GET, "/keys/$key", null)
+        return when (reply.status) {
+            200 -> reply.fields().let { Entry(it.text("path"), it.raw()["data"], Stamp(it.long("stamp"))) }
+            404 -> null
+            else -> refused(reply)
+        }
+    }
+
+    override suspend fun list(prefix: String, after: String?): Page {
+        val from = if (after == null) "" else "&after=$after"
+        val reply = call(HttpMethod.GET, "/keys?under=$prefix$from&page=$PAGE", null)
+        if (reply.status != 200) refused(reply)
+        val f = reply.fields()
+        val entries = f.maps("entries").map { Entry(it.text("path"), it.raw()["data"], Stamp(it.long("stamp"))) }
+        return Page(entries, f.flag("has_next"), f.long("epoch"))
+    }
+
+    override suspend fun changes(prefix: String, after: Long): Changes? {
+        val reply = call(HttpMethod.GET, "/changes?under=$prefix&after=$after&hold_ms=0", null)
+        if (reply.status == 410) return null
+        if (reply.status != 200) refused(reply)
+        val f = reply.fields()
+        val changes = f.maps("events").map {
+            val stamp = Stamp(it.long("stamp"))
+            val put = it.textOrNull("set")
+            if (put != null) Change.Put(put, it.raw()["data"], stamp) else Change.Drop(it.text("drop"), stamp)
+        }
+        return Changes(f.long("epoch"), changes)
+    }
+
+    override suspend fun txn(guards: List<Guard>, writes: List<Write>): TxnResult {
+        val body = mapOf(
+            "guards" to guards.map { mapOf("path" to it.key, "stamp" to it.stamp.value) },
+            "writes" to writes.map {
+                when (it) {
+                    is Write.Drop -> mapOf("drop" to it.key)
+                    is Write.Put -> buildMap<String, Any?> {
+                        put("set", it.key)
+                        put("data", it.data)
+                        it.hold?.let { hold -> put("hold", hold.id) }
+                    }
+                }
+            },
+        )
+        val reply = call(HttpMethod.POST, "/txn", body)
+        return when (reply.status) {
+            200 -> TxnResult.Applied(Stamp(reply.fields().long("epoch")))
+            409 -> TxnResult.Refused(reply.fields().textsOrNull("failed") ?: emptyList())
+            400 -> if (reply.fields().textOrNull("error") == "no such lease") TxnResult.NoHold else refused(reply)
+            else -> refused(reply)
+        }
+    }
+
+    override suspend fun openHold(ttl: Duration): Hold {
+        val reply = call(HttpMethod.POST, "/holds", mapOf("ttl_ms" to ttl.inWholeMilliseconds), urgent = true)
+        if (reply.status != 200) refused(reply)
+        return Hold(reply.fields().long("hold"))
+    }
+
+    override suspend fun renew(hold: Hold): Boolean {
+        val reply = call(HttpMethod.POST, "/holds/${hold.id}/renew", emptyMap<String, Any?>(), urgent = true)
+        return when (reply.status) {
+            200 -> true
+            404 -> false
+            else -> refused(reply)
+        }
+    }
+
+    override suspend fun endHold(hold: Hold) {
+        val reply = call(HttpMethod.DELETE, "/holds/${hold.id}", null, urgent = true)
+        if (reply.status != 200 && reply.status != 404) refused(reply)
+    }
+
+    private suspend fun call(method: HttpMethod, path: String, body: Any?, urgent: Boolean = false): Reply {
+        requests.take(1, urgent)
+        return try {
+            http.call(method, path, body, TIMEOUT)
+        } catch (e: Malformed) {
+            throw NoAnswer("state service: ${e.message}")
+        }
+    }
+
+    private fun refused(reply: Reply): Nothing = throw Unavailable("state service answered ${reply.status} ${reply.body}")
+
+    private companion object {
+        const val PAGE = 500
+        val TIMEOUT = 1000.milliseconds
+    }
+}
