--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -33,6 +33,9 @@
 /** An ended piece stays in reports until its result is written; only then may it be cleared. */
 class AwaitingClear(val written: () -> Boolean)
 
+/** How often tasks of a job failed on a machine, and when they last did. */
+class Failures(val count: Int, val last: Duration)
+
 /** A machine as its reports and our records show it. */
 class Machine(val name: HostName, var type: String, var zone: String, var spot: Boolean) {
     /** Null until the machine type is known; nothing is placed before. */
@@ -62,8 +65,8 @@
     var sick = false
     var noRoomUntil: Duration = Duration.ZERO
 
-    /** Jobs that failed here since the last success, and how often. */
-    val failures = HashMap<JobId, Int>()
+    /** Jobs that failed here since the last success. */
+    val failures = HashMap<JobId, Failures>()
 
     /** Images that tasks here have been started with, the latest last. */
     val images = LinkedHashSet<String>()
--- /dev/null
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -0,0 +1,163 @@
+package umberslip.daemon
+
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import org.slf4j.LoggerFactory
+import umberslip.actor.Clock
+import umberslip.admission.Admission
+import umberslip.admission.AdmissionMessage
+import umberslip.agents.Report
+import umberslip.cloud.Cloud
+import umberslip.dispatch.Owner
+import umberslip.dispatch.OwnerMessage
+import umberslip.fleet.Fleet
+import umberslip.http.Malformed
+import umberslip.http.Request
+import umberslip.http.Response
+import umberslip.ownership.Authority
+import umberslip.ownership.Ownership
+import umberslip.ownership.OwnershipListener
+import umberslip.records.JobId
+import umberslip.records.JobSpec
+import umberslip.records.Reader
+import umberslip.records.ReaderMessage
+import umberslip.records.RecordEvent
+import umberslip.records.RecordView
+import umberslip.records.Term
+import umberslip.settings.Settings
+import umberslip.settings.Timings
+import umberslip.settings.Tuning
+import umberslip.state.Pacer
+import umberslip.state.StateService
+import java.time.Instant
+import kotlin.time.Duration
+
+/** A controller without its sockets: its actors, and the routes of its HTTP interface. */
+class Controller(
+    scope: CoroutineScope,
+    private val settings: Settings,
+    tuning: Tuning,
+    state: StateService,
+    cloud: Cloud,
+    clock: Clock,
+    wallClock: () -> Instant,
+    metrics: MeterRegistry,
+    private val tellPeers: () -> Unit,
+    private val scrape: () -> String,
+) {
+    private val log = LoggerFactory.getLogger("umberslip.daemon")
+    private val timings = Timings(settings.workers, tuning)
+    private val authority = Authority(timings)
+    private val reader: Reader = Reader(scope, state, clock, ::recordsChanged)
+    private val admission = Admission(
+        scope, settings, state, Pacer(settings.stateLimits.writeRps * ACCEPT_SHARE, clock), reader, wallClock, ::announce, metrics,
+    )
+    private val owner = Owner(
+        scope, settings, tuning, timings, state, Pacer(settings.stateLimits.writeRps * OWNER_SHARE, clock), clock, wallClock, authority,
+        { reader.tell(ReaderMessage.Nudge) }, metrics,
+    )
+    private val fleet = Fleet(scope, settings, tuning, cloud, state, authority, owner, clock, wallClock) {
+        admission.tell(AdmissionMessage.Flavors(it))
+        owner.tell(OwnerMessage.Flavors(it))
+    }
+    private val ownership = Ownership(
+        scope, settings.member, state, reader, authority, timings, clock,
+        object : OwnershipListener {
+            override fun tookOver(records: RecordView, silentUntil: Duration) {
+                fleet.tookOver(records.fleet, authority.term == Term(1))
+                owner.tell(OwnerMessage.TookOver(records, silentUntil))
+            }
+
+            override fun steppedDown() {
+                owner.tell(OwnerMessage.SteppedDown)
+            }
+        },
+    )
+
+    /** Whom workers are sent to, as the records last showed. */
+    private var ownerMember: String? = null
+
+    fun start() {
+        listOf(reader, admission, owner).forEach { it.start() }
+        ownership.start()
+        fleet.start()
+    }
+
+    /** Another controller wrote something that the owner should see soon. */
+    fun news() {
+        reader.tell(ReaderMessage.Nudge)
+    }
+
+    private fun recordsChanged(events: List<RecordEvent>, began: Duration) {
+        authority.read(began)
+        for (event in events) {
+            if (event !is RecordEvent.OwnerChanged) continue
+            ownerMember = event.owner?.value?.member
+            if (authority.owns && event.owner?.stamp != authority.stamp) authority.lost("the record names ${ownerMember ?: "nobody"}")
+        }
+        if (events.isNotEmpty() && authority.owns) owner.tell(OwnerMessage.RecordsChanged(events))
+    }
+
+    private fun announce() {
+        reader.tell(ReaderMessage.Nudge)
+        tellPeers()
+    }
+
+    // ---- routes ----
+
+    fun handle(request: Request, respond: (Response) -> Unit) {
+        val path = request.path
+        when {
+            path == "/ready" -> only("GET", request, respond) {
+                respond(if (reader.confirmedAt == null) Response.later(1, "the records are not read yet") else Response(200, mapOf("ready" to true)))
+            }
+            path == "/metrics" -> only("GET", request, respond) { respond(Response(200, null, plain = scrape())) }
+            path == "/agent/beat" -> only("POST", request, respond) { beat(request, respond) }
+            path == "/api/jobs" -> only("POST", request, respond) {
+                pass(admission.tell(AdmissionMessage.Submit(JobSpec.parse(request.fields()), respond)), respond)
+            }
+            path.startsWith(JOBS) && path.endsWith(CANCEL) -> only("POST", request, respond) {
+                job(path.removeSuffix(CANCEL), respond) { pass(admission.tell(AdmissionMessage.Cancel(it, respond)), respond) }
+            }
+            path.startsWith(JOBS) -> only("GET", request, respond) {
+                job(path, respond) { pass(admission.tell(AdmissionMessage.Status(it, respond)), respond) }
+            }
+            else -> respond(Response.error(404, "no such path"))
+        }
+    }
+
+    private fun only(method: String, request: Request, respond: (Response) -> Unit, then: () -> Unit) {
+        if (request.method == method) then() else respond(Response.error(405, "only $method"))
+    }
+
+    private fun job(path: String, respond: (Response) -> Unit, then: (JobId) -> Unit) {
+        val id = JobId.parse(path.removePrefix(JOBS))
+        if (id == null) respond(Response.error(404, "no such job")) else then(id)
+    }
+
+    private fun pass(taken: Boolean, respond: (Response) -> Unit) {
+        if (!taken) respond(Response.later(2, "too busy"))
+    }
+
+    private fun beat(request: Request, respond: (Response) -> Unit) {
+        if (authority.owns) {
+            val report = try {
+                Report.parse(request.fields())
+            } catch (e: Malformed) {
+                log.debug("a report cannot be read: {}", e.message)
+                throw e
+            }
+            pass(owner.tell(OwnerMessage.Reported(report, respond)), respond)
+            return
+        }
+        val other = ownerMember
+        respond(Response(421, if (other == null || other == settings.member) emptyMap<String, Any?>() else mapOf("dispatcher" to other)))
+    }
+
+    private companion object {
+        const val JOBS = "/api/jobs/"
+        const val CANCEL = "/cancel"
+        const val ACCEPT_SHARE = 0.5
+        const val OWNER_SHARE = 0.7
+    }
+}
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -3,6 +3,7 @@
 import org.slf4j.LoggerFactory
 import umberslip.agents.AwaitingClear
 import umberslip.agents.Cause
+import umberslip.agents.Failures
 import umberslip.agents.Machine
 import umberslip.agents.Order
 import umberslip.agents.Piece
@@ -219,8 +220,6 @@
         when (cause) {
             Cause.DONE -> {
                 job.done.set(a.index)
-                job.successes++
-                job.failures = 0
                 job.failedOn.clear()
                 machine.failures.clear()
                 a.runningSince?.let { since ->
@@ -236,27 +235,32 @@
         }
     }
 
-    /**
-     * Tells a machine that fails everything from a job that fails everywhere: a machine is sick when
-     * several jobs failed on it, or one that succeeds elsewhere did so repeatedly; a job that failed
-     * on several machines and succeeded nowhere waits longer and longer between tries.
-     */
+    /** A job that failed on several machines and succeeded nowhere waits longer and longer between tries. */
     private fun failed(machine: Machine, job: RunningJob, now: Duration) {
-        job.failures++
         job.failedOn += machine.name
-        machine.failures.merge(job.spec.id, 1, Int::plus)
-        val several = machine.failures.size >= 2 || (job.successes > 0 && machine.failures.values.sum() >= 3)
-        if (several && !machine.sick) {
-            machine.sick = true
-            log.warn("machine {} fails the tasks of {} jobs: nothing more is placed there", machine.name.value, machine.failures.size)
-        }
-        if (job.failedOn.size >= 2 && job.successes == 0) {
+        machine.failures[job.spec.id] = Failures((machine.failures[job.spec.id]?.count ?: 0) + 1, now)
+        judge(machine)
+        if (job.failedOn.size >= 2 && job.done.isEmpty) {
             val wait = (1L shl job.failedOn.size.coerceAtMost(6)).seconds
             job.notBefore = now + wait
             log.warn("job {} failed on {} machines: waits {}", job.spec.id.value, job.failedOn.size, wait)
         }
     }
 
+    /**
+     * Tells a machine that fails everything from a job that fails everywhere: a machine is sick when
+     * several jobs failed on it and nothing succeeded since, or one that succeeds elsewhere did so
+     * repeatedly.
+     */
+    private fun judge(machine: Machine) {
+        if (machine.sick || machine.failures.isEmpty()) return
+        val failing = machine.failures.keys.mapNotNull { jobs[it] }
+        val sick = machine.failures.size >= 2 || (machine.failures.values.sumOf { it.count } >= 2 && failing.any { !it.done.isEmpty })
+        if (!sick) return
+        machine.sick = true
+        log.warn("machine {} fails the tasks of {} jobs: nothing more is placed there", machine.name.value, machine.failures.size)
+    }
+
     /** Bounds the leases that this owner's answer renews. */
     fun answered(name: HostName, now: Duration) {
         machines[name]?.let { it.leaseEnd = maxOf(it.leaseEnd, now + timings.stretched(timings.lease) + timings.margin) }
@@ -392,6 +396,7 @@
             val idle = machine.assignments.isEmpty()
             if (!idle) machine.idleSince = null else if (machine.idleSince == null) machine.idleSince = now
             drain(machine, now)
+            judge(machine)
         }
         for (job in jobs.values) gatherInTime(job, now)
     }
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -5,6 +5,7 @@
 import umberslip.records.Shape
 import umberslip.settings.TeamSettings
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * A team's dispatcher: its waiting jobs in order, and what its tasks hold of the machines.
@@ -65,7 +66,7 @@
             if (job.notBefore > now || !free.covers(job.room)) continue
             if (job.spec.shape == Shape.GANG && !mayGather(job, now)) continue
             if (job.peek() == null || !allowed(job, machine) || !withinLimit(job.room)) continue
-            if (machine.failures.containsKey(job.spec.id)) continue
+            if (machine.failures[job.spec.id]?.let { now - it.last < AVOID } == true) continue
             return job
         }
         return null
@@ -83,6 +84,9 @@
 
     companion object {
         private const val EPSILON = 1e-6
+
+        /** A machine that failed a job's task gets no more of that job for so long. */
+        private val AVOID = 20.seconds
         private val ORDER = compareBy<RunningJob>({ it.spec.urgency }, { it.due }, { it.spec.id.value })
 
         /** Whether a job's task may be on a machine at all, and given where the job's other tasks are. */
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -69,8 +69,6 @@
     /** After failures on several machines, the job's tasks wait before the next try. */
     var notBefore: Duration = Duration.ZERO
     val failedOn = HashSet<HostName>()
-    var failures = 0
-    var successes = 0
 
     /** Own observation of a task's run time, once there is one. */
     var observedSeconds: Double? = null
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -61,9 +61,9 @@
     private val releases = LinkedHashSet<HostName>()
     private val gone = HashSet<HostName>()
     private val unneededSince = HashMap<HostName, Duration>()
-    private val strangers = HashMap<HostName, Duration>()
     private var requests = 0
-    private var epoch = 0L
+    private var tookOverAt = Duration.ZERO
+    private var settledAt = Duration.ZERO
 
     fun start(): Job = scope.launch {
         while (true) {
@@ -84,13 +84,16 @@
     }
 
     /** A new owner starts from what its predecessor noted; the rest shows in the list and in reports. */
-    fun tookOver(noted: Any?) {
+    fun tookOver(noted: Any?, first: Boolean) {
+        tookOverAt = clock.now()
+        // Workers are heard again within a few reports; until then a machine not heard of is neither
+        // missing nor up for return. A first owner has nothing to wait for.
+        settledAt = if (first) tookOverAt else tookOverAt + settings.workers.report * 2 + 2.seconds
         booting.clear()
         unsettled.clear()
         releases.clear()
         gone.clear()
         unneededSince.clear()
-        strangers.clear()
         shut.clear()
         listedAt = null
         requests = 0
@@ -121,6 +124,7 @@
         val now = clock.now()
         for (m in view.machines) if (m.silentFor != null) booting.remove(m.name)
         if (listedAt?.let { now - it > LIST_EVERY } != false) list(view, now)
+        if (now < settledAt) return
         giveUpBooting(now)
         val plan = planner.plan(view, booting.values.toList(), flavors) { (shut[it] ?: Duration.ZERO) > now }
         close(view, plan, now)
@@ -190,12 +194,13 @@
                 else -> booting[host.name] = Booting(host.name, Offer(host.type, host.zone, host.spot), now - host.age)
             }
         }
-        strangers.keys.retainAll(all.map { it.name }.toSet())
     }
 
     private fun giveUpBooting(now: Duration) {
         for (b in booting.values.toList()) {
             val boot = flavors[b.offer.type]?.boot ?: continue
+            // A machine that was up before this owner may be out of reach for a while with work on it.
+            if (now - tookOverAt < settings.workers.lease * 2) continue
             if (now - b.since > maxOf(boot * 3, boot + 40.seconds)) {
                 log.warn("machine {} did not come up in {}: returned", b.name.value, now - b.since)
                 booting.remove(b.name)
--- /dev/null
+++ b/src/test/kotlin/umberslip/sim/RulesTest.kt
@@ -0,0 +1,62 @@
+package umberslip.sim
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The controllers' own code against stand-ins of everything outside, with generated crashes, cuts,
+ * hangs, delays, repeats and outages; the protocol's rules are checked all the time.
+ */
+class RulesTest {
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16])
+    fun `rules hold whatever fails`(seed: Int) {
+        val random = Random(seed)
+        val world = World(seed, Mischief(lossy = 0.01, late = 0.01), Samples::settingsJson)
+        for (i in 0..2) world.startController(i)
+        var number = 0
+        var next = Duration.ZERO
+        while (world.now() < 150.seconds) {
+            if (world.now() >= next) {
+                world.user(Samples.job(random, number++), if (random.nextInt(5) == 0) random.nextInt(1, 40).seconds else null)
+                next = world.now() + random.nextInt(1, 8).seconds
+            }
+            trouble(world, random)
+            world.run(1.seconds)
+        }
+        // Left in peace, everything that was accepted comes to its end.
+        world.state.out = false
+        world.run(500.seconds)
+        world.end()
+        assertEquals(emptyList<String>(), world.broken.take(5))
+        assertTrue(world.starts > 20, "only ${world.starts} tasks started")
+        assertEquals(world.acceptedJobs, world.finishedJobs + world.cancelledJobs, "jobs that ended; ${world.open()}")
+    }
+
+    private fun trouble(world: World, random: Random) {
+        val zone = if (random.nextBoolean()) "east" else "west"
+        val controller = random.nextInt(3)
+        val time = random.nextInt(1, 40).seconds
+        when (random.nextInt(60)) {
+            0, 1 -> restart(world, controller, random)
+            2 -> (0..2).forEach { restart(world, it, random) }
+            3, 4 -> world.upMachines().randomOrNull(random)?.let(world::kill)
+            5, 6 -> world.upMachines().randomOrNull(random)?.let { world.hang(it, time) }
+            7, 8, 9 -> world.cut(controller, zone, time)
+            10, 11 -> world.cutState(controller, time)
+            12 -> world.state.out = true
+            13, 14, 15, 16 -> world.state.out = false
+        }
+    }
+
+    private fun restart(world: World, controller: Int, random: Random) {
+        world.stopController(controller)
+        world.run(random.nextLong(100, 6000).let { Duration.parse("${it}ms") })
+        world.startController(controller)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -0,0 +1,553 @@
+package umberslip.sim
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import kotlinx.coroutines.withTimeoutOrNull
+import umberslip.actor.Clock
+import umberslip.cloud.Cloud
+import umberslip.cloud.Flavor
+import umberslip.cloud.HostName
+import umberslip.cloud.HostStatus
+import umberslip.cloud.ListedHost
+import umberslip.cloud.Offer
+import umberslip.daemon.Controller
+import umberslip.http.Documents
+import umberslip.http.Fields
+import umberslip.http.NoAnswer
+import umberslip.http.Request
+import umberslip.http.Response
+import umberslip.http.Unavailable
+import umberslip.records.JobSpec
+import umberslip.records.TaskId
+import umberslip.settings.Settings
+import umberslip.settings.Tuning
+import umberslip.state.Change
+import umberslip.state.Changes
+import umberslip.state.Entry
+import umberslip.state.Guard
+import umberslip.state.Hold
+import umberslip.state.Page
+import umberslip.state.Stamp
+import umberslip.state.StateService
+import umberslip.state.TxnResult
+import umberslip.state.Write
+import java.time.Instant
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What goes wrong in a world: shares of calls, and times of larger troubles come from the seed. */
+class Mischief(val lossy: Double, val late: Double)
+
+/** The state service's contract, in memory, with holds that run out. */
+class StoredState(private val now: () -> Duration) {
+    private class Row(val data: Any?, val stamp: Long, val hold: Long?)
+    private class HoldRow(val ttl: Duration, var until: Duration)
+
+    private val rows = java.util.TreeMap<String, Row>()
+    private val holds = HashMap<Long, HoldRow>()
+    private val log = ArrayList<Change>()
+    private var epoch = 0L
+    private var nextHold = 0L
+    var out = false
+        set(value) {
+            if (field && !value) holds.values.forEach { it.until = now() + it.ttl }
+            field = value
+        }
+
+    fun expire() {
+        if (out) return
+        for ((id, hold) in holds.toList()) if (hold.until <= now()) end(id)
+    }
+
+    fun end(id: Long) {
+        if (holds.remove(id) == null) return
+        rows.filterValues { it.hold == id }.keys.toList().forEach {
+            epoch++
+            remove(it)
+        }
+    }
+
+    private fun remove(key: String) {
+        if (rows.remove(key) != null) log += Change.Drop(key, Stamp(epoch))
+    }
+
+    fun get(key: String): Entry? = rows[key]?.let { Entry(key, it.data, Stamp(it.stamp)) }
+
+    fun list(prefix: String, after: String?): Page {
+        val all = rows.tailMap(after ?: "", after == null).filterKeys { it.startsWith(prefix) }.entries
+        val page = all.take(7).map { Entry(it.key, it.value.data, Stamp(it.value.stamp)) }
+        return Page(page, all.size > 7, epoch)
+    }
+
+    fun changes(prefix: String, after: Long): Changes? {
+        // The log is short here, so that reading everything again is exercised too.
+        val oldest = if (log.size > 60) log[log.size - 60].stamp.value else 0
+        if (after < oldest) return null
+        return Changes(epoch, log.filter { it.stamp.value > after && it.key.startsWith(prefix) })
+    }
+
+    fun txn(guards: List<Guard>, writes: List<Write>): TxnResult {
+        val failed = guards.filter { (rows[it.key]?.stamp ?: 0L) != it.stamp.value }.map { it.key }
+        if (failed.isNotEmpty()) return TxnResult.Refused(failed)
+        if (writes.any { it is Write.Put && it.hold != null && it.hold.id !in holds }) return TxnResult.NoHold
+        if (writes.isEmpty()) return TxnResult.Applied(Stamp(epoch))
+        epoch++
+        for (w in writes) {
+            when (w) {
+                is Write.Drop -> remove(w.key)
+                is Write.Put -> {
+                    // Through the codec, as on the wire.
+                    val data = Documents.readCbor(Documents.writeCbor(w.data))
+                    rows[w.key] = Row(data, epoch, w.hold?.id)
+                    log += Change.Put(w.key, data, Stamp(epoch))
+                }
+            }
+        }
+        return TxnResult.Applied(Stamp(epoch))
+    }
+
+    fun open(ttl: Duration): Hold {
+        holds[++nextHold] = HoldRow(ttl, now() + ttl)
+        return Hold(nextHold)
+    }
+
+    fun renew(hold: Hold): Boolean {
+        val row = holds[hold.id] ?: return false
+        row.until = now() + row.ttl
+        return true
+    }
+}
+
+/** A task on a machine, as the machine sees it. */
+class OnMachine(val task: TaskId, val attempt: Long, val spec: JobSpec) {
+    var status = "fetching"
+    var cause: String? = null
+    var ready = Duration.INFINITE
+    var ends = Duration.INFINITE
+}
+
+class SimMachine(val name: String, val offer: Offer, val bornAt: Duration, val upAt: Duration) {
+    var shift = 1L
+    var counter = 0L
+    var warrant = 0L
+    var lastAnswered = Duration.ZERO
+    var target = 0
+    var gone = false
+    var hungUntil = Duration.ZERO
+    var sick = false
+    val pieces = LinkedHashMap<TaskId, OnMachine>()
+}
+
+/**
+ * Several controllers, a state service, a cloud, workers and users in virtual time. After every
+ * event the protocol's rules are checked against what really is on the machines.
+ */
+class World(seed: Int, private val mischief: Mischief, settingsJson: (String) -> String) {
+    private val random = Random(seed)
+    val scheduler = TestCoroutineScheduler()
+    private val dispatcher = StandardTestDispatcher(scheduler)
+    private val scope = CoroutineScope(dispatcher + SupervisorJob())
+    private val members = listOf("c-0", "c-1", "c-2")
+    private val settings = members.map { Settings.parse(settingsJson(it)) }
+    private val controllers = arrayOfNulls<Controller>(members.size)
+    private val jobsOfControllers = arrayOfNulls<Job>(members.size)
+    val state = StoredState(::now)
+
+    /** From which time on a controller gets through to the state service or to machines again. */
+    private val cutFromState = Array(members.size) { Duration.ZERO }
+    private val machines = LinkedHashMap<String, SimMachine>()
+    private val cutUntil = HashMap<Pair<Int, String>, Duration>()
+    private val hires = HashMap<String, List<HostName>>()
+    private val specs = HashMap<String, JobSpec>()
+    private val done = HashMap<String, HashSet<Int>>()
+    private val accepted = HashSet<String>()
+    private val askedToCancel = HashSet<String>()
+    private val toldCancelled = HashMap<String, Duration>()
+    private val toldDone = HashSet<String>()
+    val broken = ArrayList<String>()
+    var starts = 0
+        private set
+    val finishedJobs: Int get() = toldDone.size
+    val acceptedJobs: Int get() = accepted.size
+    val cancelledJobs: Int get() = toldCancelled.size
+
+    fun now(): Duration = scheduler.currentTime.milliseconds
+
+    private fun broke(what: String) {
+        broken += "${now()}: $what"
+    }
+
+    // ---- controllers ----
+
+    fun startController(i: Int) {
+        val job = SupervisorJob()
+        jobsOfControllers[i] = job
+        val drift = 1.0 + (i - 1) * 0.0005
+        val own = CoroutineScope(dispatcher + job)
+        val controller = Controller(
+            own, settings[i], Tuning(), Link(i), CloudLink(i), Clock { now() * drift }, { Instant.ofEpochMilli(1_000_000 + scheduler.currentTime) },
+            SimpleMeterRegistry(), { controllers.forEach { it?.news() } }, { "" },
+        )
+        controllers[i] = controller
+        controller.start()
+    }
+
+    fun stopController(i: Int) {
+        jobsOfControllers[i]?.cancel()
+        controllers[i] = null
+    }
+
+    /** A controller's way to the state service, with losses, and with requests that are carried out late. */
+    private inner class Link(private val i: Int) : StateService {
+        private suspend fun <T> call(lateToo: Boolean, what: () -> T): T {
+            delay(random.nextLong(1, 12))
+            if (state.out || cutFromState[i] > now()) throw Unavailable("out")
+            val luck = random.nextDouble()
+            if (luck < mischief.lossy) {
+                delay(1000)
+                throw NoAnswer("lost")
+            }
+            if (lateToo && luck < mischief.lossy + mischief.late) {
+                scope.launch {
+                    delay(random.nextLong(500, 40_000))
+                    state.expire()
+                    if (!state.out) what()
+                }
+                delay(1000)
+                throw NoAnswer("late")
+            }
+            state.expire()
+            val answer = what()
+            if (luck > 1 - mischief.lossy) {
+                delay(1000)
+                throw NoAnswer("answer lost")
+            }
+            delay(random.nextLong(1, 6))
+            return answer
+        }
+
+        override suspend fun get(key: String) = call(false) { state.get(key) }
+        override suspend fun list(prefix: String, after: String?) = call(false) { state.list(prefix, after) }
+        override suspend fun changes(prefix: String, after: Long) = call(false) { state.changes(prefix, after) }
+        override suspend fun txn(guards: List<Guard>, writes: List<Write>): TxnResult {
+            check(writes.size <= settings[i].stateLimits.txnOps) { "a transaction of ${writes.size} writes" }
+            check(guards.size <= settings[i].stateLimits.txnOps * 4) { "a transaction of ${guards.size} guards" }
+            for (w in writes) if (w is Write.Put) check(Documents.jsonSize(w.data) <= settings[i].stateLimits.valueBytes) { "${w.key} is too large" }
+            return call(true) { state.txn(guards, writes) }
+        }
+        override suspend fun openHold(ttl: Duration) = call(false) { state.open(ttl) }
+        override suspend fun renew(hold: Hold) = call(true) { state.renew(hold) }
+        override suspend fun endHold(hold: Hold) = call(true) { state.end(hold.id) }
+    }
+
+    private inner class CloudLink(private val i: Int) : Cloud {
+        private suspend fun <T> call(what: () -> T): T {
+            delay(random.nextLong(50, 300))
+            val luck = random.nextDouble()
+            if (luck < mischief.lossy) throw Unavailable("trouble")
+            if (luck < mischief.lossy + mischief.late) {
+                scope.launch {
+                    delay(random.nextLong(500, 40_000))
+                    what()
+                }
+                delay(5000)
+                throw NoAnswer("late")
+            }
+            return what()
+        }
+
+        override suspend fun flavors(): List<Flavor> = call { FLAVORS }
+
+        override suspend fun rent(name: String, offer: Offer, number: Int): List<HostName>? = call {
+            hires[name] ?: run {
+                val room = 3 - machines.values.count { !it.gone && it.offer == offer }
+                val made = List(minOf(number, room).coerceAtLeast(0)) {
+                    val host = "h-%05d".format(machines.size)
+                    SimMachine(host, offer, now(), now() + random.nextLong(1000, 9000).milliseconds).also {
+                        machines[host] = it
+                        it.sick = random.nextInt(12) == 0
+                        it.lastAnswered = it.upAt
+                        scope.launch { live(it) }
+                    }.let { HostName(host) }
+                }
+                if (made.isEmpty()) null else made.also { hires[name] = it }
+            }
+        }
+
+        override suspend fun release(hosts: List<HostName>) = call { hosts.forEach { machines[it.value]?.let(::kill) } }
+
+        override suspend fun hosts(): List<ListedHost> = call {
+            machines.values.filter { !it.gone && now() - it.bornAt > 4.seconds }.map {
+                ListedHost(HostName(it.name), it.offer.type, it.offer.zone, it.offer.spot, HostStatus.RUNNING, now() - it.bornAt)
+            }
+        }
+    }
+
+    // ---- machines ----
+
+    fun kill(machine: SimMachine) {
+        machine.gone = true
+        machine.pieces.clear()
+    }
+
+    fun upMachines(): List<SimMachine> = machines.values.filter { !it.gone && it.upAt <= now() }
+
+    fun hang(machine: SimMachine, time: Duration) {
+        machine.hungUntil = now() + time
+    }
+
+    fun cut(controller: Int, zone: String, time: Duration) {
+        cutUntil[controller to zone] = now() + time
+    }
+
+    fun cutState(controller: Int, time: Duration) {
+        cutFromState[controller] = now() + time
+    }
+
+    private suspend fun live(m: SimMachine) {
+        delay((m.upAt - now()).inWholeMilliseconds)
+        scope.launch {
+            while (!m.gone) {
+                delay(100)
+                lease(m)
+                if (m.hungUntil <= now()) work(m)
+                check()
+            }
+        }
+        while (!m.gone) {
+            delay(random.nextLong(750, 1250))
+            if (m.hungUntil <= now()) report(m)
+        }
+    }
+
+    private fun lease(m: SimMachine) {
+        if (now() - m.lastAnswered <= LEASE) return
+        m.pieces.clear()
+        m.shift++
+        m.lastAnswered = now()
+    }
+
+    private fun work(m: SimMachine) {
+        for (p in m.pieces.values) {
+            if (p.status == "fetching" && p.ready <= now()) {
+                p.status = "running"
+                begins(m, p)
+            }
+            if (p.status == "running" && p.ends <= now()) {
+                p.status = "ended"
+                p.cause = if (m.sick) "error" else "done"
+                if (!m.sick) done.getOrPut(p.spec.id.value) { HashSet() }.add(p.task.index)
+            }
+        }
+    }
+
+    private suspend fun report(m: SimMachine) {
+        val sent = now()
+        val shift = m.shift
+        m.counter++
+        val body = mapOf(
+            "host" to m.name, "endpoint" to "", "hosttype" to m.offer.type, "hall" to m.offer.zone, "reclaimable" to m.offer.spot,
+            "shift" to m.shift, "counter" to m.counter, "warrant" to m.warrant, "warning_s" to null,
+            "pieces" to m.pieces.values.map { mapOf("piece" to it.task.toString(), "try" to it.attempt, "status" to it.status, "cause" to it.cause) },
+        )
+        val to = m.target
+        val answer = withTimeoutOrNull(4000) { deliver(to, m.offer.zone, body) }
+        if (m.gone) return
+        if (answer == null || answer.status != 200) {
+            val named = (answer?.body as? Map<*, *>)?.get("dispatcher") as? String
+            val next = members.indexOf(named)
+            m.target = if (next >= 0 && next != to) next else (to + 1) % members.size
+            if (next < 0) delay(1000)
+            return
+        }
+        if (m.hungUntil > now() || m.shift != shift) return
+        val f = Fields.of(Documents.readCbor(Documents.writeCbor(answer.body)))
+        if (f.long("warrant") < m.warrant) return
+        m.warrant = f.long("warrant")
+        m.lastAnswered = sent
+        f.maps("orders").forEach { order(m, it) }
+    }
+
+    /** A report on its way: it may be lost, held back for long, or its answer lost. */
+    private suspend fun deliver(to: Int, zone: String, body: Map<String, Any?>): Response? {
+        delay(random.nextLong(1, 40))
+        val controller = controllers[to]
+        val cut = (cutUntil[to to zone] ?: Duration.ZERO) > now()
+        val luck = random.nextDouble()
+        if (cut || luck < mischief.late) {
+            scope.launch {
+                delay(random.nextLong(3000, 40_000))
+                controllers[to]?.let { hand(it, "POST", "/agent/beat", body) }
+            }
+            delay(5000)
+            return null
+        }
+        if (controller == null || luck > 1 - mischief.lossy) return null
+        val answer = hand(controller, "POST", "/agent/beat", body).await()
+        delay(random.nextLong(1, 40))
+        return if (random.nextDouble() < mischief.lossy || controllers[to] !== controller) null else answer
+    }
+
+    private fun hand(controller: Controller, method: String, path: String, body: Any?): CompletableDeferred<Response> {
+        val answer = CompletableDeferred<Response>()
+        controller.handle(Request(method, path, if (body == null) ByteArray(0) else Documents.writeCbor(body))) { answer.complete(it) }
+        return answer
+    }
+
+    private fun order(m: SimMachine, f: Fields) {
+        val task = TaskId.parse(f.text("piece")) ?: return broke("an order for ${f.text("piece")}")
+        val attempt = f.long("try")
+        val here = m.pieces[task]
+        when (f.text("verb")) {
+            "start" -> when {
+                here != null && here.attempt == attempt -> Unit
+                here != null -> broke("$task is told to start on ${m.name} beside another attempt")
+                else -> {
+                    val spec = specs.getValue(task.job.value)
+                    val p = OnMachine(task, attempt, spec)
+                    p.ready = now() + random.nextLong(100, 2500).milliseconds
+                    val known = done[task.job.value]?.contains(task.index) == true
+                    p.ends = p.ready + if (known) Duration.ZERO else (spec.expectedSeconds * random.nextDouble(0.3, 2.0)).seconds
+                    m.pieces[task] = p
+                }
+            }
+            "stop" -> if (here != null && here.attempt == attempt && here.status != "ended") {
+                here.status = "ended"
+                here.cause = "halted"
+            }
+            "clear" -> if (here != null && here.attempt == attempt && here.status == "ended") m.pieces.remove(task)
+        }
+    }
+
+    // ---- the rules ----
+
+    private fun isOn(p: OnMachine) = p.status == "running"
+
+    private fun begins(m: SimMachine, p: OnMachine) {
+        starts++
+        val id = p.spec.id.value
+        for (other in machines.values) {
+            if (other === m || other.gone) continue
+            val there = other.pieces[p.task]
+            // A hung machine's tasks count until its lease is over.
+            if (there != null && isOn(there) && now() - other.lastAnswered <= LEASE) broke("ran_twice: ${p.task} on ${other.name} and ${m.name}")
+        }
+        if (p.spec.types != null && m.offer.type !in p.spec.types.orEmpty()) broke("wrong_place: ${p.task} on ${m.offer}")
+        if (p.spec.zone != null && p.spec.zone != m.offer.zone) broke("wrong_place: ${p.task} on ${m.offer}")
+        if (m.offer.spot && !p.spec.spot) broke("wrong_place: ${p.task} on ${m.offer}")
+        val zones = machines.values.filter { !it.gone }.flatMap { o -> o.pieces.values.filter { it.spec.id == p.spec.id && isOn(it) }.map { o.offer.zone } }
+        if (p.spec.oneZone && zones.toSet().size > 1) broke("wrong_place: $id in $zones")
+        if (p.spec.spread && zones.count { it == m.offer.zone } > p.spec.maxPerZone) broke("wrong_place: $id not spread")
+        toldCancelled[id]?.let { if (now() - it > CANCEL) broke("ran_cancelled: ${p.task} starts") }
+    }
+
+    private fun check() {
+        val used = HashMap<String, Double>()
+        for (m in machines.values) {
+            if (m.gone) continue
+            for (p in m.pieces.values) {
+                if (!isOn(p)) continue
+                used.merge(p.spec.team, p.spec.cpus, Double::plus)
+                toldCancelled[p.spec.id.value]?.let {
+                    if (now() - it > CANCEL && now() - m.lastAnswered <= LEASE) broke("ran_cancelled: ${p.task} on ${m.name}")
+                }
+            }
+        }
+        for (t in settings[0].teams) {
+            val most = t.cpusMax ?: continue
+            if ((used[t.name] ?: 0.0) > most + 1e-6) broke("quota: ${t.name} uses ${used[t.name]}")
+        }
+    }
+
+    // ---- users ----
+
+    fun user(spec: JobSpec, cancelAfter: Duration?) {
+        val id = spec.id.value
+        specs[id] = spec
+        scope.launch {
+            while (true) {
+                val answer = ask("POST", "/api/jobs", spec.toMap())
+                if (answer != null && (answer.status == 200 || answer.status == 201)) break
+                if (answer != null && answer.status in setOf(400, 422)) broke("forgotten: $id was answered ${answer.status}")
+                delay(1000)
+            }
+            accepted += id
+            if (cancelAfter != null) {
+                scope.launch {
+                    delay(cancelAfter.inWholeMilliseconds)
+                    askedToCancel += id
+                    while (true) {
+                        val answer = ask("POST", "/api/jobs/$id/cancel", null)
+                        if (answer?.status == 200) {
+                            heard(id, answer)
+                            break
+                        }
+                        delay(1000)
+                    }
+                }
+            }
+            while (true) {
+                delay(random.nextLong(2000, 6000))
+                val answer = ask("GET", "/api/jobs/$id", null) ?: continue
+                if (answer.status == 404) broke("forgotten: $id")
+                if (answer.status == 200) heard(id, answer)
+                // Retries may come at any time, also after the end.
+                if (random.nextInt(10) == 0) ask("POST", "/api/jobs", spec.toMap())?.let { if (it.status == 200) heard(id, it) else if (it.status == 201) broke("went_back: $id accepted again") }
+                if (random.nextInt(10) == 0) ask("GET", "/api/jobs/no-$id", null)?.let { if (it.status == 200) broke("invented: no-$id") }
+            }
+        }
+    }
+
+    private fun heard(id: String, answer: Response) {
+        val word = (answer.body as Map<*, *>)["status"]
+        if (id in toldDone && word != "done") broke("went_back: $id was done, now $word")
+        if (id in toldCancelled && word != "aborted") broke("went_back: $id was cancelled, now $word")
+        if (word == "done" && toldDone.add(id) && (done[id]?.size ?: 0) < specs.getValue(id).pieces) broke("not_done: $id")
+        if (word == "aborted") {
+            if (id !in askedToCancel) broke("went_back: nobody cancelled $id")
+            toldCancelled.putIfAbsent(id, now())
+        }
+    }
+
+    private suspend fun ask(method: String, path: String, body: Any?): Response? {
+        delay(random.nextLong(1, 20))
+        val controller = controllers[random.nextInt(members.size)] ?: return null
+        return withTimeoutOrNull(5000) { hand(controller, method, path, body).await() }
+    }
+
+    /** For a failed run's message: the jobs that have not ended, and the machines. */
+    fun open(): String = (accepted - toldDone - toldCancelled.keys).joinToString("\n") { id ->
+        "$id ${specs[id]} done ${done[id]?.size ?: 0}"
+    } + "\n" + upMachines().joinToString("\n") { m ->
+        "${m.name} ${m.offer} sick ${m.sick} hung ${m.hungUntil > now()} ${m.pieces.values.map { "${it.task} ${it.status}" }}"
+    }
+
+    fun run(time: Duration) {
+        scheduler.advanceTimeBy(time)
+    }
+
+    fun end() {
+        for (i in members.indices) stopController(i)
+        scope.cancel()
+        scheduler.runCurrent()
+    }
+
+    companion object {
+        val LEASE = 10.seconds
+        val CANCEL = 30.seconds
+        val FLAVORS = listOf(
+            Flavor("small", 4.0, 0.0, 16.0, 1.0, 0.4, 0.2, 5.seconds, listOf("east", "west")),
+            Flavor("large", 16.0, 0.0, 64.0, 1.0, 1.5, 0.7, 5.seconds, listOf("east", "west")),
+        )
+    }
+}
