--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -3,6 +3,7 @@
 import umberslip.cloud.Flavor
 import umberslip.cloud.HostName
 import umberslip.dispatch.Assignment
+import umberslip.dispatch.RunningJob
 import umberslip.records.JobId
 import umberslip.records.TaskId
 import kotlin.time.Duration
@@ -63,6 +64,9 @@
     /** Its release was asked for: nothing is told to it any more. */
     var releasing = false
     var sick = false
+
+    /** Takes tasks of this job only, since its tasks found no machine empty enough for long. */
+    var keptFor: RunningJob? = null
     var noRoomUntil: Duration = Duration.ZERO
 
     /** Jobs that failed here since the last success. */
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -123,6 +123,7 @@
         val age = (wallClock().toEpochMilli() - record.value.submitted.toEpochMilli()).milliseconds
         val job = RunningJob(record.value.spec, record, perChunk, now - age + dueWithin(record.value))
         job.gatherBound = settings.workers.gangWait
+        job.lastPlaced = now
         jobs[id] = job
         team.add(job)
     }
@@ -295,6 +296,8 @@
     }
 
     private fun place(job: RunningJob, index: Int, machine: Machine, now: Duration) {
+        job.lastPlaced = now
+        if (machine.keptFor === job) machine.keptFor = null
         val a = Assignment(job, index, 0, machine.name, machine.zone)
         if (job.spec.shape == Shape.GANG) {
             a.reserved = true
@@ -399,6 +402,28 @@
             judge(machine)
         }
         for (job in jobs.values) gatherInTime(job, now)
+        for (team in teams.values) keepMachine(team, now)
+    }
+
+    /**
+     * Small tasks would fill every gap for ever before a large one: a team's first job that found no
+     * place for long gets the next machine that can hold its task to itself, until one is placed.
+     */
+    private fun keepMachine(team: Dispatcher, now: Duration) {
+        for (machine in machines.values) {
+            val job = machine.keptFor ?: continue
+            if (job.spec.team != team.team.name) continue
+            if (job.waiting > 0 && machine.usable && jobs[job.spec.id] === job) return
+            machine.keptFor = null
+        }
+        val hungry = team.jobs().firstOrNull {
+            it.waiting > 0 && it.spec.shape != Shape.GANG && it.notBefore <= now && now - it.lastPlaced > HUNGRY && team.withinLimit(it.room)
+        } ?: return
+        val machine = machines.values.filter {
+            it.usable && it.keptFor == null && hungry.spec.id !in it.failures && Dispatcher.allowed(hungry, it) && it.capacity?.covers(hungry.room) == true
+        }.minByOrNull { it.used().cpus } ?: return
+        machine.keptFor = hungry
+        log.info("machine {} is kept for job {}, which found no place for {}", machine.name.value, hungry.spec.id.value, HUNGRY)
     }
 
     /** Nothing is on the machine any more. */
@@ -550,6 +575,7 @@
     private companion object {
         const val MAX_ORDERS = 300
         const val MAX_TXN_BYTES = 50_000
+        val HUNGRY = 30.seconds
         val LAZY = 700.milliseconds
         val NO_DUE = 3600.seconds
     }
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -70,6 +70,9 @@
     var notBefore: Duration = Duration.ZERO
     val failedOn = HashSet<HostName>()
 
+    /** When a task of the job was last placed, or the job came. */
+    var lastPlaced: Duration = Duration.ZERO
+
     /** Own observation of a task's run time, once there is one. */
     var observedSeconds: Double? = null
 
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -88,7 +88,10 @@
  * from the cheapest capacity up, whether that is rented already or only could be. Pure.
  */
 class FleetPlanner(private val tuning: Tuning) {
-    private class Supply(val offer: Offer, val room: Room, val price: Double, val name: HostName?, val up: Boolean, var left: Double, var used: Boolean = false)
+    private class Supply(val offer: Offer, val room: Room, val price: Double, val name: HostName?, val up: Boolean, var left: Double, var used: Boolean = false) {
+        /** Waiting work was planned for it. */
+        var claimed = false
+    }
 
     fun plan(view: FleetView, booting: List<Booting>, flavors: Map<String, Flavor>, shut: (Offer) -> Boolean): Plan {
         fun price(offer: Offer): Double = flavors[offer.type]?.let { (if (offer.spot) it.spotPrice else it.price) / it.cpus.coerceAtLeast(0.1) } ?: Double.MAX_VALUE
@@ -145,8 +148,8 @@
     }
 
     /**
-     * Up machines that no work was planned for, dearest first, as long as the others can take what
-     * runs and waits.
+     * Up machines that no waiting work was planned for, dearest first: those with nothing on them,
+     * and others as long as the rest can take what runs and waits.
      */
     private fun unneeded(view: FleetView, supply: List<Supply>, running: Map<HostName, Double>): Set<HostName> {
         val up = supply.filter { it.up }
@@ -155,7 +158,9 @@
         val out = HashSet<HostName>()
         for (s in up.sortedWith(compareBy({ -it.price }, { running[it.name] ?: 0.0 }))) {
             val name = s.name ?: continue
-            if (slack < s.room.cpus * KEEP_SLACK) continue
+            if (s.claimed) continue
+            // An empty machine that none of the waiting work was planned for cannot help it.
+            if (s.used && slack < s.room.cpus * KEEP_SLACK) continue
             slack -= s.room.cpus
             out += name
         }
@@ -176,6 +181,7 @@
                 val taken = minOf(s.left, rest * weight)
                 s.left -= taken
                 s.used = true
+                s.claimed = true
                 rest -= taken / weight
             }
             if (rest > 1e-6) left += work to rest
