--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -18,9 +18,11 @@
 import umberslip.records.JobId
 import umberslip.records.JobRecord
 import umberslip.records.Keys
+import umberslip.records.Placement
 import umberslip.records.RecordView
 import umberslip.records.Shape
 import umberslip.records.Stamped
+import umberslip.records.StartsRecord
 import umberslip.records.TaskId
 import umberslip.records.Term
 import umberslip.settings.Objective
@@ -56,6 +58,7 @@
     val ended: List<RunningJob>,
     val dropped: List<RunningJob>,
     val trash: List<String>,
+    val logged: List<Pair<LogSlot, List<Pair<Chunk, Long>>>>,
 )
 
 /**
@@ -79,6 +82,13 @@
     private val trash = ArrayDeque<String>()
     private val unknownTeams = HashSet<JobId>()
     private var flavors: Map<String, Flavor> = emptyMap()
+    private val slots = List(LOG_SLOTS, ::LogSlot)
+
+    /** Rises with every logged entry, across terms too. */
+    private var seq = term.value shl 32
+
+    /** Placed and not recorded yet, in the order of placing. */
+    private val unrecorded = LinkedHashSet<Assignment>()
 
     // ---- taking over, and what other controllers write ----
 
@@ -97,16 +107,37 @@
             }
             for ((number, record) in chunks) {
                 job.load(number, record)
-                for (p in record.value.placed) {
-                    val machine = machines.getOrPut(p.host) { Machine(p.host, "", "", false).also { it.leaseEnd = silentUntil } }
-                    val a = Assignment(job, p.index, p.attempt, p.host, machine.zone)
-                    a.recorded = true
-                    attach(a, machine)
+                for (p in record.value.placed) placed(job, p, silentUntil)
+            }
+        }
+        for ((number, record) in records.starts().entries.sortedBy { it.value.value.seq }) {
+            val named = LinkedHashSet<Chunk>()
+            for ((id, all) in record.value.starts) {
+                val job = jobs[id] ?: continue
+                for (p in all) {
+                    val chunk = job.chunk(p.index)
+                    if ((records.chunks()[id]?.get(chunk.number)?.value?.seq ?: 0L) >= record.value.seq) continue
+                    // Later entries win: a task goes elsewhere only after it was certainly gone.
+                    job.assigned[p.index]?.let(::detach)
+                    if (!job.done.get(p.index)) placed(job, p, silentUntil)
+                    chunk.lastAttempt = maxOf(chunk.lastAttempt, p.attempt)
+                    named += chunk
                 }
             }
+            named.forEach { it.touch(now) }
+            val slot = slots.getOrNull(number) ?: continue
+            slot.stamp = record.stamp
+            slot.chunks = named.map { it to it.version }
         }
     }
 
+    private fun placed(job: RunningJob, p: Placement, silentUntil: Duration) {
+        val machine = machines.getOrPut(p.host) { Machine(p.host, "", "", false).also { it.leaseEnd = silentUntil } }
+        val a = Assignment(job, p.index, p.attempt, p.host, machine.zone)
+        a.recorded = true
+        attach(a, machine)
+    }
+
     fun jobChanged(id: JobId, record: Stamped<JobRecord>, now: Duration) {
         val known = jobs[id]
         if (known != null) {
@@ -316,7 +347,7 @@
         val chunk = a.job.chunk(a.index)
         a.attempt = attempt
         chunk.lastAttempt = attempt
-        chunk.unrecorded++
+        unrecorded += a
         chunk.touch(now)
     }
 
@@ -341,7 +372,7 @@
         detach(a)
         if (a.reserved) return
         val chunk = a.job.chunk(a.index)
-        if (!a.recorded) chunk.unrecorded--
+        unrecorded -= a
         chunk.touch(now)
     }
 
@@ -362,28 +393,37 @@
     fun orders(machine: Machine, mayStart: Boolean): List<Order> {
         if (!machine.proven || machine.releasing) return emptyList()
         val orders = ArrayList<Order>()
+        // The worker refuses a task whose former attempt it still lists.
+        val uncleared = HashSet<TaskId>()
         for (piece in machine.reported.values) {
             val a = machine.assignments[piece.task]
             if (a != null && a.attempt == piece.attempt) {
                 val windDown = if (a.job.cancelled) Duration.ZERO else a.windDown
                 if (windDown != null) orders += Order.Stop(piece.task, piece.attempt, windDown.inWholeMilliseconds / 1000.0)
             } else if (piece.status != PieceStatus.ENDED) {
+                uncleared += piece.task
                 orders += Order.Stop(piece.task, piece.attempt, 0.0)
-            } else if (machine.awaitingClear[piece.task to piece.attempt]?.written?.invoke() != false) {
+            } else if (superseded(piece) || machine.awaitingClear[piece.task to piece.attempt]?.written?.invoke() != false) {
                 orders += Order.Clear(piece.task, piece.attempt)
+            } else {
+                uncleared += piece.task
             }
         }
         if (mayStart) {
             for (a in machine.assignments.values) {
                 if (orders.size >= MAX_ORDERS) break
                 if (!a.recorded || a.job.cancelled || a.windDown != null) continue
-                if (machine.reported[a.id]?.attempt == a.attempt) continue
+                if (machine.reported[a.id]?.attempt == a.attempt || a.id in uncleared) continue
                 orders += Order.Start(a.id, a.attempt)
             }
         }
         return orders
     }
 
+    /** A later start of the task is recorded, which settles what became of this one. */
+    private fun superseded(piece: Piece): Boolean =
+        jobs[piece.task.job]?.assigned?.get(piece.task.index)?.let { it.recorded && it.attempt > piece.attempt } ?: false
+
     fun hasUnrecorded(machine: Machine): Boolean = machine.assignments.values.any { !it.recorded && !it.reserved }
 
     // ---- the passing of time ----
@@ -481,11 +521,20 @@
         val ended = ArrayList<RunningJob>()
         val dropped = ArrayList<RunningJob>()
         val trashed = ArrayList<String>()
+        val logged = ArrayList<Pair<LogSlot, List<Pair<Chunk, Long>>>>()
         var size = 0
         val live = jobs.values.toList()
 
+        fun log(slot: LogSlot, starts: List<Assignment>) {
+            val entry = StartsRecord(++seq, starts.groupBy({ it.job.spec.id }, { Placement(it.index, it.attempt, it.host) }))
+            writes += Write.Put(slot.key, entry.toMap())
+            guards += Guard(slot.key, slot.stamp)
+            included += starts
+            logged += slot to starts.mapTo(LinkedHashSet()) { it.job.chunk(it.index) }.map { it to it.version }
+        }
+
         fun add(chunk: Chunk) {
-            val record = chunk.job.chunkRecord(chunk)
+            val record = chunk.job.chunkRecord(chunk, seq)
             val bytes = 250 + record.placed.size * 40
             if (writes.size >= maxOps || size + bytes > MAX_TXN_BYTES) return
             size += bytes
@@ -511,10 +560,18 @@
         }
         val dirty = live.filter { !(it.cancelled && it.assigned.isEmpty()) && !it.finished }
             .flatMap { it.knownChunks() }.filter { it.version > it.written }
-        // Starts wait for their record, so they are written first; progress can wait a little and
-        // then takes fewer writes.
-        dirty.filter { it.unrecorded > 0 }.sortedWith(compareBy({ it.job.spec.urgency }, { it.job.due })).forEach(::add)
-        dirty.filter { it.unrecorded == 0 && (it.dirtySince ?: now) + LAZY <= now }.sortedBy { it.dirtySince ?: now }.forEach(::add)
+        // Starts wait for their record, so they are written first, in entries of the log.
+        val free = slots.filter { it.free }.iterator()
+        var open = unrecorded.toList()
+        while (open.isNotEmpty() && free.hasNext() && writes.size < maxOps && size + settings.stateLimits.valueBytes <= MAX_TXN_BYTES) {
+            val count = fitting(open)
+            log(free.next(), open.take(count))
+            open = open.drop(count)
+            size += settings.stateLimits.valueBytes
+        }
+        // Progress can wait a little and then takes fewer writes; without a free slot it makes one free.
+        val soon = if (open.isEmpty()) LAZY else Duration.ZERO
+        dirty.filter { (it.dirtySince ?: now) + soon <= now }.sortedBy { it.dirtySince ?: now }.forEach(::add)
         while (writes.size < maxOps && trash.isNotEmpty()) {
             val key = trash.removeFirst()
             trashed += key
@@ -522,7 +579,19 @@
         }
         if (writes.isEmpty()) return null
         guards += Guard(Keys.OWNER, ownerStamp)
-        return Batch(guards, writes, chunks, included, ended, dropped, trashed)
+        return Batch(guards, writes, chunks, included, ended, dropped, trashed, logged)
+    }
+
+    /** How many of these starts one value takes. */
+    private fun fitting(starts: List<Assignment>): Int {
+        val seen = HashSet<JobId>()
+        var bytes = StartsRecord.FIXED_BYTES
+        for ((i, a) in starts.withIndex()) {
+            bytes += StartsRecord.bytes(Placement(a.index, a.attempt, a.host))
+            if (seen.add(a.job.spec.id)) bytes += StartsRecord.bytes(a.job.spec.id)
+            if (bytes > settings.stateLimits.valueBytes) return i.coerceAtLeast(1)
+        }
+        return starts.size
     }
 
     /** Machines that got starts recorded. */
@@ -533,10 +602,14 @@
             chunk.written = maxOf(chunk.written, version)
             if (chunk.version == version) chunk.dirtySince = null
         }
+        for ((slot, named) in batch.logged) {
+            slot.stamp = stamp
+            slot.chunks = named
+        }
         for (a in batch.assignments) {
             if (a.job.assigned[a.index] !== a || a.recorded) continue
             a.recorded = true
-            a.job.chunk(a.index).unrecorded--
+            unrecorded -= a
             touched += a.host
         }
         (batch.ended + batch.dropped).forEach(::remove)
@@ -552,7 +625,10 @@
     fun settle(key: String, stamp: Stamp?, data: Any?) {
         val chunk = Keys.asChunk(key)
         val job = Keys.asJob(key)
-        if (chunk != null) {
+        val slot = Keys.asStarts(key)
+        if (slot != null) {
+            slots.getOrNull(slot)?.stamp = stamp ?: Stamp.NONE
+        } else if (chunk != null) {
             jobs[chunk.first]?.chunkNumber(chunk.second)?.stamp = stamp ?: Stamp.NONE
         } else if (job != null && stamp == null) {
             jobs[job]?.let(::remove)
@@ -565,6 +641,7 @@
     private fun remove(job: RunningJob) {
         if (jobs.remove(job.spec.id) == null) return
         job.assigned.values.toList().forEach(::detach)
+        unrecorded.removeAll { it.job === job }
         teams[job.spec.team]?.remove(job)
         for (chunk in job.knownChunks()) {
             chunk.written = Long.MAX_VALUE
@@ -576,7 +653,8 @@
         const val MAX_ORDERS = 300
         const val MAX_TXN_BYTES = 50_000
         val HUNGRY = 30.seconds
-        val LAZY = 700.milliseconds
+        const val LOG_SLOTS = 48
+        val LAZY = 3.seconds
         val NO_DUE = 3600.seconds
     }
 }
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -23,7 +23,7 @@
     /** Holds a slot for a gang that is not complete yet: neither recorded nor started. */
     var reserved = false
 
-    /** The start is in the state service, so it may be told to the worker. */
+    /** The start is in the state service, in the log or in its chunk, so it may be told to the worker. */
     var recorded = false
     var status: PieceStatus? = null
     var runningSince: Duration? = null
@@ -42,7 +42,6 @@
 
     /** Since when a change is unwritten. */
     var dirtySince: Duration? = null
-    var unrecorded = 0
 
     fun touch(now: Duration) {
         version++
@@ -50,6 +49,14 @@
     }
 }
 
+/** A place in the log of starts; it is free again once every chunk that it names is written. */
+class LogSlot(val number: Int) {
+    val key = Keys.starts(number)
+    var stamp = Stamp.NONE
+    var chunks: List<Pair<Chunk, Long>> = emptyList()
+    val free: Boolean get() = chunks.all { (chunk, version) -> chunk.written >= version }
+}
+
 /** An accepted job that has not ended, with all its tasks. */
 class RunningJob(val spec: JobSpec, var record: Stamped<JobRecord>, val perChunk: Int, val due: Duration) {
     val room = Room(spec.cpus, spec.gpus, spec.memoryGb)
@@ -118,12 +125,12 @@
         record.value.done.stream().forEach { done.set(base + it) }
     }
 
-    fun chunkRecord(chunk: Chunk): ChunkRecord {
+    fun chunkRecord(chunk: Chunk, seq: Long): ChunkRecord {
         val base = chunk.number * perChunk
         val end = minOf(base + perChunk, spec.pieces)
         val placed = ArrayList<Placement>()
         for (i in base until end) assigned[i]?.takeIf { !it.reserved }?.let { placed += Placement(i, it.attempt, it.host) }
-        return ChunkRecord(done.get(base, end), placed, chunk.lastAttempt)
+        return ChunkRecord(done.get(base, end), placed, chunk.lastAttempt, seq)
     }
 
     /** The expected run time of a task: what was seen, else what the owner thinks. */
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -62,6 +62,7 @@
     private val gone = HashSet<HostName>()
     private val unneededSince = HashMap<HostName, Duration>()
     private var requests = 0
+    private var summaryAt = Duration.ZERO
     private var tookOverAt = Duration.ZERO
     private var settledAt = Duration.ZERO
 
@@ -127,6 +128,10 @@
         if (now < settledAt) return
         giveUpBooting(now)
         val plan = planner.plan(view, booting.values.toList(), flavors) { (shut[it] ?: Duration.ZERO) > now }
+        if (summaryAt + SUMMARY_EVERY <= now) {
+            summaryAt = now
+            summarize(view)
+        }
         close(view, plan, now)
         release()
         while (unsettled.isNotEmpty() && authority.mayStart(clock.now())) {
@@ -143,6 +148,18 @@
         }
     }
 
+    private fun summarize(view: FleetView) {
+        fun cpus(of: List<MachineView>) = of.sumOf { it.capacity?.cpus ?: 0.0 }.toInt()
+        val up = view.machines.filter { it.silentFor != null }
+        log.info(
+            "up {} processors ({} spot, {} closing, {} sick), {} in use ({} run, {} fetch), {} booting; waiting {} for {} processor seconds",
+            cpus(up), cpus(up.filter { it.offer.spot }), cpus(up.filter { it.closing }), cpus(up.filter { it.sick }),
+            up.sumOf { m -> m.running.sumOf { it.room.cpus } }.toInt(), up.sumOf { it.runningCpus }.toInt(), up.sumOf { it.fetchingCpus }.toInt(),
+            booting.values.sumOf { flavors[it.offer.type]?.cpus ?: 0.0 }.toInt(),
+            view.waiting.sumOf { it.tasks * it.room.cpus }.toInt(), view.waiting.sumOf { it.tasks * it.room.cpus * it.seconds }.toInt(),
+        )
+    }
+
     private suspend fun view(): FleetView? {
         val answer = CompletableDeferred<FleetView?>()
         if (!owner.tell(OwnerMessage.View { answer.complete(it) })) return null
@@ -237,6 +254,7 @@
         val ROUND = 700.milliseconds
         val TROUBLE = 1.seconds
         val FLAVORS_EVERY = 60.seconds
+        val SUMMARY_EVERY = 10.seconds
         val LIST_EVERY = 5.seconds
         val SHUT = 30.seconds
         const val MAX_RELEASE = 100
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -1,11 +1,13 @@
 package umberslip.fleet
 
 import umberslip.agents.Machine
+import umberslip.agents.PieceStatus
 import umberslip.agents.Room
 import umberslip.cloud.Flavor
 import umberslip.cloud.HostName
 import umberslip.cloud.Offer
 import umberslip.dispatch.Board
+import umberslip.records.JobSpec
 import umberslip.records.Shape
 import umberslip.settings.Tuning
 import kotlin.math.ceil
@@ -34,6 +36,8 @@
     val idleFor: Duration,
     val silentFor: Duration?,
     val leaseOver: Boolean,
+    val runningCpus: Double,
+    val fetchingCpus: Double,
 )
 
 /** What the fleet is planned from. */
@@ -57,7 +61,7 @@
             return FleetView(machines, waiting)
         }
 
-        private fun where(spec: umberslip.records.JobSpec) = Where(spec.types, spec.zone, spec.spot)
+        private fun where(spec: JobSpec) = Where(spec.types, spec.zone, spec.spot)
 
         private fun view(m: Machine, now: Duration): MachineView = MachineView(
             m.name, Offer(m.type, m.zone, m.spot), m.capacity, m.usable, m.closing, m.sick, m.takenAt?.minus(now), m.assignments.size,
@@ -69,6 +73,8 @@
             m.idleSince?.let { now - it } ?: Duration.ZERO,
             m.lastHeard?.let { now - it },
             m.leaseEnd <= now,
+            m.assignments.values.sumOf { if (it.status == PieceStatus.RUNNING) it.room.cpus else 0.0 },
+            m.assignments.values.sumOf { if (it.status == PieceStatus.FETCHING) it.room.cpus else 0.0 },
         )
 
         private const val LONG = 1e6
--- a/src/main/kotlin/umberslip/records/Records.kt
+++ b/src/main/kotlin/umberslip/records/Records.kt
@@ -26,12 +26,16 @@
     const val FLEET = "u/fleet"
     private const val JOB = "u/job/"
     private const val CHUNK = "u/run/"
+    private const val STARTS = "u/log/"
     private const val END = "end/"
 
     fun job(id: JobId): String = JOB + id.value
     fun chunk(id: JobId, chunk: Int): String = "$CHUNK${id.value}/$chunk"
+    fun starts(slot: Int): String = STARTS + slot
     fun end(id: JobId): String = END + id.value
 
+    fun asStarts(key: String): Int? = if (key.startsWith(STARTS)) key.substring(STARTS.length).toIntOrNull() else null
+
     fun asJob(key: String): JobId? = if (key.startsWith(JOB)) JobId.parse(key.substring(JOB.length)) else null
 
     fun asChunk(key: String): Pair<JobId, Int>? =
@@ -79,10 +83,11 @@
 
 /**
  * The progress of a run of a job's tasks: which are done, which are placed, and the highest attempt
- * number ever used there, so that numbers only rise.
+ * number ever used there, so that numbers only rise. Starts logged up to [seq] are in it already.
  */
-data class ChunkRecord(val done: BitSet, val placed: List<Placement>, val lastAttempt: Long) {
+data class ChunkRecord(val done: BitSet, val placed: List<Placement>, val lastAttempt: Long, val seq: Long) {
     fun toMap(): Map<String, Any?> = mapOf(
+        "seq" to seq,
         "done" to hex(done),
         "placed" to placed.map { listOf(it.index, it.attempt, it.host.value) },
         "last" to lastAttempt,
@@ -107,6 +112,7 @@
                     Placement(index.toInt(), attempt, HostName(host))
                 },
                 f.long("last"),
+                f.long("seq"),
             )
         }
 
@@ -123,4 +129,38 @@
     }
 }
 
+/**
+ * Starts of many jobs in one value, so that they need few writes. The entry counts for a chunk until
+ * the chunk's own record, written later and at leisure, has reached its [seq].
+ */
+data class StartsRecord(val seq: Long, val starts: Map<JobId, List<Placement>>) {
+    fun toMap(): Map<String, Any?> = mapOf(
+        "seq" to seq,
+        "starts" to starts.map { (job, all) -> listOf(job.value, all.flatMap { listOf(it.index, it.attempt, it.host.value) }) },
+    )
+
+    companion object {
+        const val FIXED_BYTES = 60
+
+        fun bytes(job: JobId): Int = job.value.length + 8
+
+        fun bytes(p: Placement): Int = p.index.toString().length + p.attempt.toString().length + p.host.value.length + 5
+
+        fun parse(data: Any?): StartsRecord = Fields.of(data).let { f ->
+            StartsRecord(
+                f.long("seq"),
+                f.list("starts").associate { entry ->
+                    val row = entry as? List<*> ?: throw Malformed("starts are not a list")
+                    val job = (row.getOrNull(0) as? String)?.let(JobId::parse) ?: throw Malformed("starts name no job")
+                    val flat = row.getOrNull(1) as? List<*> ?: throw Malformed("starts of a job are not a list")
+                    job to flat.chunked(3).map { (index, attempt, host) ->
+                        if (index !is Long || attempt !is Long || host !is String) throw Malformed("a start is not [task, attempt, host]")
+                        Placement(index.toInt(), attempt, HostName(host))
+                    }
+                },
+            )
+        }
+    }
+}
+
 class Stamped<T>(val value: T, val stamp: Stamp)
--- a/src/main/kotlin/umberslip/records/Replica.kt
+++ b/src/main/kotlin/umberslip/records/Replica.kt
@@ -26,6 +26,9 @@
     fun jobs(): Map<JobId, Stamped<JobRecord>>
     fun chunks(): Map<JobId, Map<Int, Stamped<ChunkRecord>>>
 
+    /** Logged starts by slot. */
+    fun starts(): Map<Int, Stamped<StartsRecord>>
+
     /** How many tasks of a job are done, and how many placed. */
     fun progress(id: JobId): Pair<Int, Int>
 }
@@ -35,6 +38,7 @@
     private val log = LoggerFactory.getLogger("umberslip.records")
     private val jobs = HashMap<JobId, Stamped<JobRecord>>()
     private val chunks = HashMap<JobId, HashMap<Int, Stamped<ChunkRecord>>>()
+    private val starts = HashMap<Int, Stamped<StartsRecord>>()
     private val corrupt = HashSet<String>()
 
     override var owner: Stamped<OwnerRecord>? = null
@@ -50,9 +54,15 @@
 
     override fun chunks(): Map<JobId, Map<Int, Stamped<ChunkRecord>>> = chunks
 
+    override fun starts(): Map<Int, Stamped<StartsRecord>> = starts
+
     override fun progress(id: JobId): Pair<Int, Int> {
-        val all = chunks[id]?.values ?: return 0 to 0
-        return all.sumOf { it.value.done.cardinality() } to all.sumOf { it.value.placed.size }
+        val all = chunks[id]?.values ?: emptyList()
+        val seq = all.minOfOrNull { it.value.seq } ?: 0L
+        val logged = starts.values.sumOf { if (it.value.seq > seq) it.value.starts[id]?.size ?: 0 else 0 }
+        val done = all.sumOf { it.value.done.cardinality() }
+        val pieces = jobs[id]?.value?.spec?.pieces ?: 0
+        return done to minOf(all.sumOf { it.value.placed.size } + logged, pieces - done)
     }
 
     fun apply(change: Change): RecordEvent? = when (change) {
@@ -73,6 +83,7 @@
     private fun put(entry: Entry): RecordEvent? = try {
         val jobId = Keys.asJob(entry.key)
         val chunk = if (jobId == null) Keys.asChunk(entry.key) else null
+        val slot = Keys.asStarts(entry.key)
         when {
             jobId != null -> {
                 val known = jobs[jobId]
@@ -92,6 +103,10 @@
                 }
                 null
             }
+            slot != null -> {
+                if ((starts[slot]?.stamp?.value ?: 0L) < entry.stamp.value) starts[slot] = Stamped(StartsRecord.parse(entry.data), entry.stamp)
+                null
+            }
             entry.key == Keys.OWNER -> {
                 val known = owner
                 if (known != null && known.stamp.value >= entry.stamp.value) {
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -380,7 +380,7 @@
 
     /** A report on its way: it may be lost, held back for long, or its answer lost. */
     private suspend fun deliver(to: Int, zone: String, body: Map<String, Any?>): Response? {
-        delay(random.nextLong(1, 40))
+        delay(transit())
         val controller = controllers[to]
         val cut = (cutUntil[to to zone] ?: Duration.ZERO) > now()
         val luck = random.nextDouble()
@@ -394,10 +394,12 @@
         }
         if (controller == null || luck > 1 - mischief.lossy) return null
         val answer = hand(controller, "POST", "/agent/beat", body).await()
-        delay(random.nextLong(1, 40))
+        delay(transit())
         return if (random.nextDouble() < mischief.lossy || controllers[to] !== controller) null else answer
     }
 
+    private fun transit(): Long = if (random.nextInt(20) == 0) random.nextLong(100, 3000) else random.nextLong(1, 40)
+
     private fun hand(controller: Controller, method: String, path: String, body: Any?): CompletableDeferred<Response> {
         val answer = CompletableDeferred<Response>()
         controller.handle(Request(method, path, if (body == null) ByteArray(0) else Documents.writeCbor(body))) { answer.complete(it) }
