--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -17,6 +17,7 @@
 import umberslip.records.EndRecord
 import umberslip.records.JobId
 import umberslip.records.JobRecord
+import umberslip.records.JobSpec
 import umberslip.records.Keys
 import umberslip.records.Placement
 import umberslip.records.RecordView
@@ -152,7 +153,7 @@
             return
         }
         val age = (wallClock().toEpochMilli() - record.value.submitted.toEpochMilli()).milliseconds
-        val job = RunningJob(record.value.spec, record, perChunk, now - age + dueWithin(record.value))
+        val job = RunningJob(record.value.spec, record, perChunk, targets(record.value.spec).map { now - age + it })
         job.gatherBound = settings.workers.gangWait
         job.lastPlaced = now
         jobs[id] = job
@@ -163,11 +164,16 @@
         jobs[id]?.let { remove(it) }
     }
 
-    /** When a job should be complete: its own deadline, or the earliest time named for its class. */
-    private fun dueWithin(job: JobRecord): Duration {
-        job.spec.dueSeconds?.let { return it.seconds }
-        val named = settings.objectives.filterIsInstance<Objective.Finished>().filter { it.jobClass == job.spec.jobClass }
-        return named.minOfOrNull { it.within } ?: NO_DUE
+    /** By when after its submission a job should be done: what the aims say of its class, or its own deadline. */
+    private fun targets(spec: JobSpec): List<Duration> {
+        val named = settings.objectives.mapNotNull {
+            when (it) {
+                is Objective.Finished -> it.within.takeIf { _ -> it.jobClass == spec.jobClass }
+                is Objective.Deadline -> spec.dueSeconds?.takeIf { _ -> it.jobClass == spec.jobClass }?.let { due -> (due * it.times).seconds }
+                is Objective.Guarantee -> null
+            }
+        }
+        return named.ifEmpty { listOf(spec.dueSeconds?.seconds ?: NO_DUE) }.sorted()
     }
 
     fun setFlavors(all: List<Flavor>) {
@@ -484,6 +490,23 @@
         }
     }
 
+    /**
+     * From a machine that is to be returned, tasks that save go on elsewhere if there is room now and
+     * enough left to do; one that began a short while ago stays, since its start would not count.
+     */
+    fun moveOn(machine: Machine, now: Duration) {
+        for (a in machine.assignments.values) {
+            val spec = a.job.spec
+            val since = a.runningSince ?: continue
+            if (a.windDown != null || spec.checkpointSeconds <= 0 || spec.shape != Shape.ARRAY || a.status != PieceStatus.RUNNING) continue
+            val left = a.job.expected().seconds - (now - since)
+            if (now - since < SETTLED || left < spec.savingSeconds.seconds * 2 + WORTH_MOVING) continue
+            val moving = machines.values.sumOf { m -> m.assignments.values.count { it.windDown != null } }
+            val room = machines.values.filter { it.usable && Dispatcher.allowed(a.job, it) }.sumOf { it.free()?.times(a.room) ?: 0 }
+            if (room > moving) stop(a, spec.savingSeconds.seconds)
+        }
+    }
+
     /** Asks a task to stop; all tasks of a gang are asked together, so that it can save as one. */
     fun stop(a: Assignment, windDown: Duration) {
         val all = if (a.job.spec.shape == Shape.GANG) a.job.assigned.values else listOf(a)
@@ -652,6 +675,8 @@
     private companion object {
         const val MAX_ORDERS = 300
         const val MAX_TXN_BYTES = 50_000
+        val SETTLED = 32.seconds
+        val WORTH_MOVING = 10.seconds
         val HUNGRY = 30.seconds
         const val LOG_SLOTS = 48
         val LAZY = 3.seconds
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -44,8 +44,8 @@
     /** From the fleet: asks for what it plans from. */
     class View(val answer: (FleetView?) -> Unit) : OwnerMessage
 
-    /** From the fleet: these are to be emptied; all others are not. */
-    class Close(val hosts: Set<HostName>) : OwnerMessage
+    /** From the fleet: [hosts] get nothing new, all others may; from [emptied] what can be saved moves on. */
+    class Close(val hosts: Set<HostName>, val emptied: Set<HostName>) : OwnerMessage
 
     /** From the fleet: nothing more is told to these; answered with those that may go now. */
     class Releasing(val hosts: Set<HostName>, val evenIfBusy: Boolean, val answer: (List<HostName>) -> Unit) : OwnerMessage
@@ -104,7 +104,10 @@
             OwnerMessage.Tick -> tick(now)
             OwnerMessage.Flush -> flush(now)
             is OwnerMessage.View -> message.answer(board?.let { FleetView.of(it, now) })
-            is OwnerMessage.Close -> board?.machines?.values?.forEach { it.closing = it.name in message.hosts }
+            is OwnerMessage.Close -> board?.let { board ->
+                board.machines.values.forEach { it.closing = it.name in message.hosts }
+                board.machines.values.filter { it.name in message.emptied }.forEach { board.moveOn(it, now) }
+            }
             is OwnerMessage.Releasing -> {
                 val machines = board?.machines
                 message.answer(
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -58,7 +58,14 @@
 }
 
 /** An accepted job that has not ended, with all its tasks. */
-class RunningJob(val spec: JobSpec, var record: Stamped<JobRecord>, val perChunk: Int, val due: Duration) {
+class RunningJob(
+    val spec: JobSpec,
+    var record: Stamped<JobRecord>,
+    val perChunk: Int,
+    /** The times by which its users want it done, the earliest first; at least one. */
+    val targets: List<Duration>,
+) {
+    val due: Duration = targets.first()
     val room = Room(spec.cpus, spec.gpus, spec.memoryGb)
     val done = BitSet()
     val assigned = HashMap<Int, Assignment>()
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -226,13 +226,21 @@
         }
     }
 
-    /** Machines that stay unneeded are emptied, and returned once empty; so are sick ones. */
+    /**
+     * Unneeded machines get nothing new; when they stay so, what can be saved moves on, and they are
+     * returned once empty, dear ones sooner. So are sick ones.
+     */
     private suspend fun close(view: FleetView, plan: Plan, now: Duration) {
         unneededSince.keys.retainAll(plan.unneeded)
         plan.unneeded.forEach { unneededSince.getOrPut(it) { now } }
-        val closing = view.machines.filter { it.sick || (unneededSince[it.name]?.let { since -> now - since >= tuning.idle } ?: false) }
-        owner.tell(OwnerMessage.Close(closing.mapTo(HashSet()) { it.name }))
-        val empty = closing.filter { it.tasks == 0 }.map { it.name }
+        fun unneededFor(m: MachineView, time: Duration) = unneededSince[m.name]?.let { now - it >= time } ?: false
+        owner.tell(
+            OwnerMessage.Close(
+                view.machines.filter { it.sick || it.name in plan.unneeded }.mapTo(HashSet()) { it.name },
+                view.machines.filter { unneededFor(it, tuning.idle) }.mapTo(HashSet()) { it.name },
+            ),
+        )
+        val empty = view.machines.filter { it.tasks == 0 && (it.sick || unneededFor(it, if (it.offer.spot) tuning.idle else tuning.idle / 4)) }.map { it.name }
         // A machine that went silent until all its leases ran out is gone or useless.
         val lost = view.machines.filter { it.leaseOver && it.silentFor != null }.map { it.name }
         if (empty.isEmpty() && lost.isEmpty()) return
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -20,8 +20,11 @@
         (types == null || offer.type in types) && (zone == null || offer.zone == zone) && (spot || !offer.spot)
 }
 
-/** Work that is to be placed or runs already: tasks alike in room and in the time they still need. */
-data class Work(val where: Where, val room: Room, val tasks: Int, val seconds: Double)
+/**
+ * Work that is to be placed or runs already: tasks alike in room and in the time they still need.
+ * [slack] is how long it can wait for its start and still be done when it should.
+ */
+data class Work(val where: Where, val room: Room, val tasks: Int, val seconds: Double, val slack: Duration = Duration.ZERO)
 
 data class MachineView(
     val name: HostName,
@@ -55,7 +58,9 @@
                     val tasks = minOf(job.waiting, byLimit)
                     if (tasks <= 0) continue
                     cpus -= tasks * job.room.cpus
-                    waiting += Work(where(job.spec), job.room, tasks, if (job.spec.shape == Shape.DAEMON) LONG else job.expected())
+                    val seconds = if (job.spec.shape == Shape.DAEMON) LONG else job.expected()
+                    val slack = job.targets.firstOrNull { it > now + seconds.seconds }?.let { it - now - seconds.seconds } ?: PATIENT
+                    waiting += Work(where(job.spec), job.room, tasks, seconds, slack)
                 }
             }
             return FleetView(machines, waiting)
@@ -78,6 +83,9 @@
         )
 
         private const val LONG = 1e6
+
+        /** What has missed every target it had can wait for cheap machines. */
+        private val PATIENT = 200.seconds
         private const val SOON = 4.0
     }
 }
@@ -127,11 +135,16 @@
                 .sortedWith(compareBy({ it.price > cheapest(offers, where, ::price) * DEAR }, { !it.up }, { !it.used }, { it.price }))
             val cheap = existing.filter { it.price <= cheapest(offers, where, ::price) * DEAR }
             open = fill(open, cheap)
+            var dear = false
             for (offer in offers.filter(where::allows)) {
                 val total = open.sumOf { it.second }
                 if (total <= 0) break
-                // Dear machines that are up serve before dear ones are rented.
-                if (price(offer) > cheapest(offers, where, ::price) * DEAR) open = fill(open, existing - cheap.toSet())
+                if (!dear && price(offer) > cheapest(offers, where, ::price) * DEAR) {
+                    // What can wait for a cheap machine is not worth a dear one; and dear ones that
+                    // are up serve before more are rented.
+                    dear = true
+                    open = fill(open.map { (work, amount) -> work to amount * patience(work) }, existing - cheap.toSet())
+                }
                 val flavor = flavors.getValue(offer.type)
                 val room = Room.of(flavor)
                 val fitting = open.filter { room.covers(it.first.room) }.sumOf { it.second }
@@ -142,7 +155,7 @@
                 supply += fresh
                 open = fill(open, fresh)
             }
-            open = fill(open, existing)
+            if (!dear) open = fill(open.map { (work, amount) -> work to amount * patience(work) }, existing)
             // What is left is too little for a machine of its own, unless there is none at all.
             if (open.isNotEmpty() && supply.none { where.allows(it.offer) && it.used }) {
                 offers.firstOrNull { o -> where.allows(o) && open.any { Room.of(flavors.getValue(o.type)).covers(it.first.room) } }?.let {
@@ -195,6 +208,13 @@
         return left
     }
 
+    /** The share of its need that work still has when it is given half of its slack instead of the drain time. */
+    private fun patience(work: Work): Double {
+        val whole = minOf(1.0, work.seconds.seconds / tuning.drain)
+        val stretched = minOf(1.0, work.seconds.seconds / maxOf(tuning.drain, work.slack / 2))
+        return stretched / whole
+    }
+
     /** Processors that a task keeps busy over the drain time. */
     private fun perTask(work: Work): Double = work.room.cpus.coerceAtLeast(0.1) * minOf(1.0, work.seconds.seconds / tuning.drain)
 
