--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -102,12 +102,16 @@
     }
 }
 
-/** Turns among teams: smooth weighted round-robin, by the processors dealt; teams below their guarantee go first. */
+/**
+ * Turns among teams: smooth weighted round-robin, by the processors dealt. Teams below their
+ * guarantee go first; beyond the guarantees, only the teams with the most urgent work take turns.
+ */
 object Turns {
     fun next(candidates: Map<Dispatcher, RunningJob>): Dispatcher? {
         if (candidates.isEmpty()) return null
         val owed = candidates.filter { (team, job) -> team.withinGuarantee(job.room) }.keys
-        val among = owed.ifEmpty { candidates.keys }
+        val urgent = candidates.values.minOf { it.spec.urgency }
+        val among = owed.ifEmpty { candidates.filter { (_, job) -> job.spec.urgency == urgent }.keys }
         val chosen = among.maxWith(compareBy<Dispatcher> { it.credit + it.weight / total(among) * cost(candidates, it) }.thenBy { it.team.name })
         val cost = cost(candidates, chosen)
         for (team in among) team.credit += team.weight / total(among) * cost
