--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -208,10 +208,10 @@
         return left
     }
 
-    /** The share of its need that work still has when it is given half of its slack instead of the drain time. */
+    /** The share of its need that work still has when it is given a quarter of its slack instead of the drain time. */
     private fun patience(work: Work): Double {
         val whole = minOf(1.0, work.seconds.seconds / tuning.drain)
-        val stretched = minOf(1.0, work.seconds.seconds / maxOf(tuning.drain, work.slack / 2))
+        val stretched = minOf(1.0, work.seconds.seconds / maxOf(tuning.drain, work.slack / 4))
         return stretched / whole
     }
 
--- a/src/main/kotlin/umberslip/settings/Tuning.kt
+++ b/src/main/kotlin/umberslip/settings/Tuning.kt
@@ -16,7 +16,7 @@
     /** How long one round of placing may take before others get their turn. */
     val roundBudget: Duration = 8.milliseconds,
     /** Enough machines are kept to finish the known work in about this time. */
-    val drain: Duration = 40.seconds,
+    val drain: Duration = 30.seconds,
     /** A machine that is not needed is returned after this long. */
     val idle: Duration = 15.seconds,
 ) {
