--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -462,9 +462,8 @@
             if (job.waiting > 0 && machine.usable && jobs[job.spec.id] === job) return
             machine.keptFor = null
         }
-        val hungry = team.jobs().firstOrNull {
-            it.waiting > 0 && it.spec.shape != Shape.GANG && it.notBefore <= now && now - it.lastPlaced > HUNGRY && team.withinLimit(it.room)
-        } ?: return
+        // Only the first in order can be stuck for want of a large enough gap; others wait their turn.
+        val hungry = team.stuckSince(now - HUNGRY, now) ?: return
         val machine = machines.values.filter {
             it.usable && it.keptFor == null && hungry.spec.id !in it.failures && Dispatcher.allowed(hungry, it) && it.capacity?.covers(hungry.room) == true
         }.minByOrNull { it.used().cpus } ?: return
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -60,6 +60,19 @@
     fun withinGuarantee(room: Room): Boolean =
         (team.cpus > 0 || team.gpus > 0) && usedCpus + room.cpus <= team.cpus + EPSILON && usedGpus + room.gpus <= team.gpus + EPSILON
 
+    private var head: RunningJob? = null
+    private var headSince: Duration = Duration.ZERO
+
+    /** The job that would be placed first, if it has been so and found no place since [since]. */
+    fun stuckSince(since: Duration, now: Duration): RunningJob? {
+        val first = jobs().firstOrNull { it.waiting > 0 && it.spec.shape != Shape.GANG && it.notBefore <= now && withinLimit(it.room) }
+        if (first !== head) {
+            head = first
+            headSince = now
+        }
+        return first?.takeIf { headSince < since && it.lastPlaced < since }
+    }
+
     /** The first job, in order, that has a task for this machine's free room. */
     fun pick(machine: Machine, free: Room, now: Duration): RunningJob? {
         for (job in jobs()) {
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -241,11 +241,32 @@
             ),
         )
         val empty = view.machines.filter { it.tasks == 0 && (it.sick || unneededFor(it, if (it.offer.spot) tuning.idle else tuning.idle / 4)) }.map { it.name }
-        // A machine that went silent until all its leases ran out is gone or useless.
-        val lost = view.machines.filter { it.leaseOver && it.silentFor != null }.map { it.name }
-        if (empty.isEmpty() && lost.isEmpty()) return
+        if (empty.isNotEmpty()) takeAway(empty, evenIfBusy = false)
+        val silent = silent(view, now)
+        if (silent.isNotEmpty()) takeAway(silent, evenIfBusy = true)
+    }
+
+    private suspend fun takeAway(hosts: List<HostName>, evenIfBusy: Boolean) {
         val answer = CompletableDeferred<List<HostName>>()
-        if (owner.tell(OwnerMessage.Releasing((empty + lost).toSet(), false) { answer.complete(it) })) releases += answer.await()
+        if (owner.tell(OwnerMessage.Releasing(hosts.toSet(), evenIfBusy) { answer.complete(it) })) releases += answer.await()
+    }
+
+    /**
+     * Machines silent for most of a lease, while most others of their zone are heard: taken, dead or
+     * hung. Returning them makes sure at once that their tasks are gone, rather than when every lease
+     * has run out, which after a takeover is much later. A zone that is cut off as a whole may go on
+     * working, so its machines are left alone until their leases are over.
+     */
+    private fun silent(view: FleetView, now: Duration): List<HostName> {
+        val patience = settings.workers.lease * SILENT_SHARE
+        fun silence(m: MachineView): Duration = m.silentFor ?: (now - tookOverAt)
+        val heard = view.machines.groupBy { it.offer.zone }.mapValues { (_, all) -> all.count { silence(it) < settings.workers.report * 3 } * 2 > all.size }
+        // A machine that only the records name has no zone here; most of all machines must be heard.
+        val most = view.machines.count { silence(it) < settings.workers.report * 3 } * 2 > view.machines.size
+        return view.machines.filter { m ->
+            (m.leaseOver && m.silentFor != null) ||
+                (m.tasks > 0 && silence(m) > patience && most && (m.offer.zone.isEmpty() || heard[m.offer.zone] == true))
+        }.map { it.name }
     }
 
     private suspend fun release() {
@@ -265,6 +286,7 @@
         val SUMMARY_EVERY = 10.seconds
         val LIST_EVERY = 5.seconds
         val SHUT = 30.seconds
+        const val SILENT_SHARE = 0.8
         const val MAX_RELEASE = 100
         const val MAX_NOTED = 40
     }
