--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -5,8 +5,10 @@
 import umberslip.dispatch.Assignment
 import umberslip.dispatch.RunningJob
 import umberslip.records.JobId
+import umberslip.records.Shape
 import umberslip.records.TaskId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** What an amount of work takes of a machine, or a machine offers. */
 data class Room(val cpus: Double, val gpus: Double, val memoryGb: Double) {
@@ -78,6 +80,19 @@
 
     val usable: Boolean get() = proven && !closing && !releasing && !sick && takenAt == null
 
+    /**
+     * For how long a machine that is being emptied has to stay for what runs on it; tasks that end
+     * within that time cost nothing more. Zero where there is no such time.
+     */
+    fun staysFor(now: Duration): Duration {
+        if (!proven || !closing || releasing || sick || takenAt != null) return Duration.ZERO
+        val left = assignments.values.maxOfOrNull { a ->
+            val since = a.runningSince
+            if (since == null || a.windDown != null || a.job.spec.shape != Shape.ARRAY) Duration.ZERO else a.job.expected().seconds - (now - since)
+        }
+        return left ?: Duration.ZERO
+    }
+
     fun used(): Room {
         var cpus = 0.0
         var gpus = 0.0
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -245,7 +245,7 @@
             // on to a newer report. It is told again, unless it should not be here any more.
             a.status = null
             a.runningSince = null
-            if (newShift || a.windDown != null || a.job.cancelled || !machine.usable) release(a, now)
+            if (newShift || a.windDown != null || a.job.cancelled || !(machine.usable || machine.staysFor(now) > Duration.ZERO)) release(a, now)
         }
         if (newShift) log.info("machine {} began session {}", machine.name.value, report.shift)
     }
@@ -308,12 +308,13 @@
 
     /** Deals a machine's free room; false if the time ran out and more may be placed. */
     fun deal(machine: Machine, now: Duration, outOfTime: () -> Boolean): Boolean {
-        if (!machine.usable || machine.noRoomUntil > now) return true
+        val within = if (machine.usable) Duration.INFINITE else machine.staysFor(now)
+        if (within <= Duration.ZERO || machine.noRoomUntil > now) return true
         var free = machine.free() ?: return true
         // Something is on the machine that the records do not know: its room is not known either.
         if (machine.reported.values.any { it.status != PieceStatus.ENDED && machine.assignments[it.task]?.attempt != it.attempt }) return true
         val candidates = LinkedHashMap<Dispatcher, RunningJob>()
-        for (team in teams.values) team.pick(machine, free, now)?.let { candidates[team] = it }
+        for (team in teams.values) team.pick(machine, free, now, within)?.let { candidates[team] = it }
         while (true) {
             val team = Turns.next(candidates) ?: return true
             val job = candidates.getValue(team)
@@ -326,7 +327,7 @@
             // Only the team that took its turn can have a new first choice; the others' may no longer fit.
             for (other in candidates.keys.toList()) {
                 if (other !== team && free.covers(candidates.getValue(other).room)) continue
-                val next = other.pick(machine, free, now)
+                val next = other.pick(machine, free, now, within)
                 if (next == null) candidates.remove(other) else candidates[other] = next
             }
         }
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -74,9 +74,10 @@
     }
 
     /** The first job, in order, that has a task for this machine's free room. */
-    fun pick(machine: Machine, free: Room, now: Duration): RunningJob? {
+    fun pick(machine: Machine, free: Room, now: Duration, within: Duration = Duration.INFINITE): RunningJob? {
         for (job in jobs()) {
             if (machine.keptFor.let { it != null && it !== job }) continue
+            if (within.isFinite() && (job.expected().seconds > within || job.spec.image !in machine.images)) continue
             if (job.notBefore > now || !free.covers(job.room)) continue
             if (job.spec.shape == Shape.GANG && !mayGather(job, now)) continue
             if (job.peek() == null || !allowed(job, machine) || !withinLimit(job.room)) continue
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -62,6 +62,8 @@
     private val gone = HashSet<HostName>()
     private val unneededSince = HashMap<HostName, Duration>()
     private var requests = 0
+    private var noted: Set<HostName> = emptySet()
+    private var notedAt = Duration.ZERO
     private var summaryAt = Duration.ZERO
     private var tookOverAt = Duration.ZERO
     private var settledAt = Duration.ZERO
@@ -127,6 +129,7 @@
         if (listedAt?.let { now - it > LIST_EVERY } != false) list(view, now)
         if (now < settledAt) return
         giveUpBooting(now)
+        if (booting.keys != noted && now - notedAt > NOTE_EVERY) note()
         val plan = planner.plan(view, booting.values.toList(), flavors) { (shut[it] ?: Duration.ZERO) > now }
         if (summaryAt + SUMMARY_EVERY <= now) {
             summaryAt = now
@@ -179,6 +182,8 @@
     /** A hint for the next owner, so that it does not rent for the same need again. */
     private suspend fun note() {
         val stamp = authority.stamp ?: return
+        noted = booting.keys.toSet()
+        notedAt = clock.now()
         val base = wallClock().toEpochMilli() - clock.now().inWholeMilliseconds
         val rows = booting.values.take(MAX_NOTED).map {
             mapOf(
@@ -199,6 +204,9 @@
         val all = cloud.hosts()
         listedAt = now
         val reporting = view.machines.associateBy { it.name }
+        // Noted by a former owner, or rented long enough ago to be listed, and not there: gone.
+        val listed = all.mapTo(HashSet()) { it.name }
+        booting.values.removeAll { it.name !in listed && now - it.since > settings.listLag * 3 }
         for (host in all) {
             if (host.name in gone || host.name in releases) continue
             val machine = reporting[host.name]
@@ -283,6 +291,7 @@
         val ROUND = 700.milliseconds
         val TROUBLE = 1.seconds
         val FLAVORS_EVERY = 60.seconds
+        val NOTE_EVERY = 3.seconds
         val SUMMARY_EVERY = 10.seconds
         val LIST_EVERY = 5.seconds
         val SHUT = 30.seconds
