--- /dev/null
+++ b/src/test/kotlin/umberslip/dispatch/BoardTest.kt
@@ -0,0 +1,311 @@
+package umberslip.dispatch
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import umberslip.agents.Cause
+import umberslip.agents.Order
+import umberslip.cloud.HostName
+import umberslip.records.Shape
+import umberslip.records.TaskId
+import umberslip.records.Term
+import umberslip.records.Urgency
+import umberslip.state.Stamp
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+class BoardTest {
+    private val t = TestBoard()
+
+    private fun running(a: Assignment) = TestBoard.running(a.id, a.attempt)
+
+    private fun ended(a: Assignment, cause: Cause) = TestBoard.ended(a.id, a.attempt, cause)
+
+    private fun placed(job: RunningJob) = job.assigned.values.sortedBy { it.index }
+
+    /** A job's tasks recorded, told and running on a machine. */
+    private fun startAll(job: RunningJob, host: String = "m") {
+        t.report(host)
+        t.deal(host)
+        t.write()
+        t.report(host, *placed(job).map(::running).toTypedArray())
+    }
+
+    @Test
+    fun `a start is told only once it is recorded`() {
+        t.job()
+        t.report("m")
+        t.deal("m")
+        assertTrue(t.board.hasUnrecorded(t.machine("m")))
+        assertEquals(emptyList<Order>(), t.orders("m"))
+        t.write()
+        assertEquals(3, t.starts("m").size)
+        assertEquals(emptyList<TaskId>(), t.orders("m", mayStart = false))
+    }
+
+    @Test
+    fun `a start that did not arrive is told again as the same attempt on the same machine`() {
+        val job = t.job()
+        t.report("m")
+        t.deal("m")
+        t.write()
+        val first = t.orders("m")
+        t.report("m")
+        t.deal("m")
+        assertEquals(first, t.orders("m"))
+        assertEquals(3, job.assigned.size)
+    }
+
+    @Test
+    fun `a report with an old term, or an old one, proves nothing`() {
+        val job = t.job()
+        startAll(job)
+        assertEquals(Verdict.STALE, t.report("m", counter = 1))
+        assertEquals(Verdict.ANSWER, t.report("m", warrant = Term(4), counter = 50))
+        assertEquals(3, job.assigned.size)
+        assertEquals(emptyList<Order>(), t.orders("m"))
+        assertEquals(Verdict.OUTRANKED, t.report("m", warrant = Term(6), counter = 51))
+    }
+
+    @Test
+    fun `a silent machine's tasks wait until its leases are over or its release is answered`() {
+        val job = t.job()
+        startAll(job)
+        t.board.answered(HostName("m"), t.now)
+        t.now += t.timings.lease
+        t.board.tick(t.now)
+        assertEquals(3, job.assigned.size)
+        t.now += t.timings.margin + 1.seconds
+        t.board.tick(t.now)
+        assertEquals(0, job.assigned.size)
+        assertEquals(3, job.waiting)
+
+        startAll(job, "n")
+        t.board.released(listOf(HostName("n")), t.now)
+        assertEquals(3, job.waiting)
+        assertEquals(Verdict.STALE, t.report("n", counter = 99), "a late report of a returned machine")
+    }
+
+    @Test
+    fun `a new owner holds recorded tasks until their machine's report carries its term`() {
+        val job = t.job()
+        t.report("m")
+        t.deal("m")
+        t.write()
+        val next = t.successor()
+        val taken = next.board.jobs.getValue(job.spec.id)
+        assertEquals(3, taken.assigned.size)
+        next.report("m", warrant = Term(5), counter = 10)
+        next.report("other", type = "large")
+        next.deal("other")
+        assertEquals(emptyList<TaskId>(), next.starts("other"))
+        // The report shows that the start never arrived: it is told again, here.
+        next.report("m", counter = 11)
+        assertEquals(3, next.starts("m").size)
+        next.now += 31.seconds
+        next.board.tick(next.now)
+        assertEquals(0, taken.assigned.size)
+    }
+
+    @Test
+    fun `what a successor loads is what was recorded, through generated histories`() {
+        for (seed in 1..40) {
+            val random = Random(seed)
+            val w = TestBoard()
+            repeat(3) { w.job { it.copy(pieces = random.nextInt(1, 90), cpus = 0.5, memoryGb = 0.1) } }
+            repeat(30) {
+                w.now += 1.seconds
+                val host = "m${random.nextInt(4)}"
+                val here = w.board.machines[HostName(host)]?.assignments?.values.orEmpty().filter { it.recorded }
+                w.report(host, *here.map { if (random.nextInt(3) == 0) ended(it, if (random.nextInt(5) == 0) Cause.HALTED else Cause.DONE) else running(it) }.toTypedArray(), type = "large")
+                w.deal(host)
+                w.write()
+            }
+            // Progress may be written later, but every start is there, and nothing is done that is not.
+            val next = w.successor()
+            for ((id, job) in w.board.jobs) {
+                val loaded = next.board.jobs.getValue(id)
+                val certain = job.assigned.values.associate { it.index to (it.attempt to it.host) }
+                assertEquals(certain, loaded.assigned.values.filter { it.index in certain }.associate { it.index to (it.attempt to it.host) }, "seed $seed")
+                assertTrue(job.done.clone().let { (it as java.util.BitSet).also { d -> d.or(loaded.done) } } == job.done, "seed $seed")
+                assertTrue(loaded.highestAttempt() >= job.assigned.values.maxOfOrNull { it.attempt } ?: 0, "seed $seed")
+            }
+        }
+    }
+
+    @Test
+    fun `an ended piece is cleared only once its result is written`() {
+        val job = t.job()
+        startAll(job)
+        val a = placed(job).first()
+        t.report("m", *placed(job).map { if (it === a) ended(it, Cause.DONE) else running(it) }.toTypedArray())
+        assertFalse(t.orders("m").any { it is Order.Clear })
+        t.now += 5.seconds
+        t.write()
+        t.report("m", ended(a, Cause.DONE), *placed(job).map(::running).toTypedArray())
+        assertEquals(listOf<Order>(Order.Clear(a.id, a.attempt)), t.orders("m"))
+    }
+
+    @Test
+    fun `a task is not started beside its own former attempt`() {
+        // Found by the rules test: the worker refuses it as busy, over and over.
+        val job = t.job { it.copy(pieces = 1) }
+        startAll(job)
+        val first = placed(job).single()
+        t.report("m", ended(first, Cause.HALTED))
+        t.deal("m")
+        assertEquals(emptyList<Order>(), t.orders("m"))
+        t.write()
+        val orders = t.orders("m")
+        assertEquals(Order.Clear(first.id, first.attempt), orders.first(), "the later recorded attempt settles it")
+        assertTrue((orders.last() as Order.Start).attempt > first.attempt)
+    }
+
+    @Test
+    fun `a job's end is written with its result and only then forgotten`() {
+        val job = t.job()
+        startAll(job)
+        t.report("m", *placed(job).map { ended(it, Cause.DONE) }.toTypedArray())
+        assertTrue(job.finished)
+        t.write()
+        assertNull(t.board.jobs[job.spec.id])
+        assertTrue(t.written.any { it.key == "end/${job.spec.id.value}" })
+        assertTrue(t.orders("m").all { it is Order.Clear })
+    }
+
+    @Test
+    fun `a cancelled job starts nothing more and its tasks are stopped until they are gone`() {
+        val job = t.job { it.copy(pieces = 6) }
+        startAll(job)
+        t.cancel(job)
+        t.report("m", *placed(job).map(::running).toTypedArray())
+        t.deal("m")
+        assertTrue(t.orders("m").all { it is Order.Stop && it.windDownSeconds == 0.0 })
+        t.write()
+        assertNotNull(t.board.jobs[job.spec.id], "its tasks are still there")
+        t.report("m")
+        t.write()
+        assertNull(t.board.jobs[job.spec.id])
+    }
+
+    @Test
+    fun `refused and unknown writes are settled by what the service shows`() {
+        val job = t.job()
+        t.report("m")
+        t.deal("m")
+        val batch = t.board.nextBatch(8, t.now) ?: error("nothing to write")
+        t.board.notApplied(batch)
+        batch.writes.forEach { t.board.settle(it.key, Stamp(77), null) }
+        assertEquals(emptyList<Order>(), t.orders("m"), "not recorded for sure")
+        val again = t.board.nextBatch(8, t.now) ?: error("nothing to write again")
+        assertTrue(again.guards.any { it.stamp == Stamp(77) })
+        t.board.settle("u/job/${job.spec.id.value}", null, null)
+        assertNull(t.board.jobs[job.spec.id])
+    }
+
+    @Test
+    fun `a machine that fails everything is told from a job that fails everywhere`() {
+        val good = t.job()
+        startAll(good)
+        t.report("m", *placed(good).map { if (it.index == 0) ended(it, Cause.DONE) else running(it) }.toTypedArray())
+        val bad = t.job { it.copy(pieces = 1) }
+        for (host in listOf("x", "y")) {
+            t.report(host)
+            t.deal(host)
+            t.write()
+            placed(bad).forEach { t.report(host, ended(it, Cause.ERROR)) }
+        }
+        assertFalse(t.machine("x").sick || t.machine("y").sick)
+        assertTrue(bad.notBefore > t.now, "the job waits")
+        t.report("z")
+        t.deal("z")
+        assertEquals(0, bad.assigned.size)
+
+        val one = t.job { it.copy(pieces = 1) }
+        val two = t.job { it.copy(pieces = 1) }
+        t.deal("z")
+        t.write()
+        t.report("z", *(placed(one) + placed(two)).map { ended(it, Cause.ERROR) }.toTypedArray())
+        assertTrue(t.machine("z").sick)
+    }
+
+    @Test
+    fun `a machine about to be taken gets nothing and saves what can be saved in time`() {
+        val job = t.job { it.copy(checkpointSeconds = 30.0, savingSeconds = 4.0) }
+        startAll(job)
+        t.report("m", *placed(job).map(::running).toTypedArray(), warning = 12.0)
+        t.board.tick(t.now)
+        assertEquals(emptyList<Order>(), t.orders("m"))
+        t.now += 6.seconds
+        t.board.tick(t.now)
+        assertEquals(List(3) { 4.0 }, t.orders("m").map { (it as Order.Stop).windDownSeconds })
+    }
+
+    @Test
+    fun `a gang starts as a whole, under one attempt, or gives its slots back and may take longer next time`() {
+        val gang = t.job { it.copy(shape = Shape.GANG, pieces = 6) }
+        t.report("m")
+        t.deal("m")
+        t.write()
+        assertEquals(4, gang.assigned.size)
+        assertEquals(emptyList<TaskId>(), t.starts("m"))
+        val bound = gang.gatherBound
+        t.now += bound + 1.seconds
+        t.board.tick(t.now)
+        assertEquals(0, gang.assigned.size)
+        assertEquals(bound * 2, gang.gatherBound)
+        t.now += bound
+        for (host in listOf("m", "n")) {
+            t.report(host)
+            t.deal(host)
+        }
+        t.write()
+        assertEquals(6, t.starts("m").size + t.starts("n").size)
+        assertEquals(1, gang.assigned.values.map { it.attempt }.toSet().size)
+        t.board.stop(placed(gang).first(), 4.seconds)
+        assertTrue(gang.assigned.values.all { it.windDown == 4.seconds }, "stopped together, so that it can save")
+    }
+
+    @Test
+    fun `a large task is not starved by small ones`() {
+        // Found by the rules test: every gap was filled before a whole machine was free.
+        val small = t.job { it.copy(pieces = 100, urgency = Urgency.IDLE) }
+        t.report("m", type = "small")
+        t.deal("m")
+        t.write()
+        val late = t.job { it.copy(pieces = 1, cpus = 4.0, urgency = Urgency.CRITICAL) }
+        repeat(60) {
+            t.now += 1.seconds
+            val here = t.machine("m").assignments.values.filter { a -> a.recorded }.sortedBy { a -> a.index }
+            t.report("m", *here.mapIndexed { i, a -> if (i == 0) ended(a, Cause.DONE) else running(a) }.toTypedArray())
+            t.deal("m")
+            t.write()
+            t.board.tick(t.now)
+        }
+        assertTrue(late.done.cardinality() + late.assigned.size == 1, "placed or done by now; ${small.assigned.size} small ones run")
+    }
+
+    @Test
+    fun `a machine being emptied takes only what ends before it could go`() {
+        val long = t.job { it.copy(pieces = 1, expectedSeconds = 100.0) }
+        startAll(long)
+        t.machine("m").closing = true
+        t.job { it.copy(pieces = 1, expectedSeconds = 300.0) }
+        val short = t.job { it.copy(pieces = 1, expectedSeconds = 20.0) }
+        t.deal("m")
+        assertEquals(setOf(long.spec.id, short.spec.id), t.machine("m").assignments.keys.map { it.job }.toSet())
+    }
+
+    @Test
+    fun `a round of placing that runs out of time goes on where it stopped`() {
+        val job = t.job { it.copy(pieces = 10, cpus = 0.1) }
+        t.report("m")
+        var rounds = 0
+        while (!t.board.deal(t.machine("m"), t.now) { true }) rounds++
+        assertEquals(10, rounds)
+        assertEquals((0 until 10).toSet(), job.assigned.keys)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/dispatch/DispatcherTest.kt
@@ -0,0 +1,78 @@
+package umberslip.dispatch
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import umberslip.records.Urgency
+import umberslip.settings.TeamSettings
+import kotlin.math.abs
+import kotlin.random.Random
+
+class DispatcherTest {
+    private fun team(name: String, cpus: Double, max: Double? = null) = Dispatcher(TeamSettings(name, cpus, 0.0, max, null))
+
+    @Test
+    fun `beyond their guarantees teams take turns by weight, whatever their tasks' size`() = runBlocking<Unit> {
+        checkAll(PropTestConfig(seed = 21, iterations = 40), Arb.int(1..9), Arb.int(1..9), Arb.int(1..4)) { a, b, size ->
+            val t = TestBoard()
+            val one = t.job { it.copy(cpus = size.toDouble()) }
+            val other = t.job { it.copy(cpus = 1.0, urgency = one.spec.urgency) }
+            val x = team("x", a * 10.0).also { it.take(umberslip.agents.Room(1e6, 0.0, 0.0)) }
+            val y = team("y", b * 10.0).also { it.take(umberslip.agents.Room(1e6, 0.0, 0.0)) }
+            val dealt = HashMap<Dispatcher, Double>()
+            repeat(2000) {
+                val next = Turns.next(mapOf(x to one, y to other)) ?: error("nobody's turn")
+                dealt.merge(next, if (next === x) size.toDouble() else 1.0, Double::plus)
+            }
+            val share = (dealt[x] ?: 0.0) / dealt.values.sum()
+            assertTrue(abs(share - a.toDouble() / (a + b)) < 0.02, "$share for $a of ${a + b}")
+        }
+    }
+
+    @Test
+    fun `teams below their guarantee go first, then the most urgent`() {
+        val t = TestBoard()
+        val urgent = t.job { it.copy(urgency = Urgency.HIGH) }
+        val idle = t.job { it.copy(urgency = Urgency.IDLE) }
+        val owed = team("owed", 10.0)
+        val none = team("none", 0.0)
+        val also = team("also", 0.0)
+        assertEquals(owed, Turns.next(mapOf(none to urgent, owed to idle)))
+        assertEquals(none, Turns.next(mapOf(none to urgent, also to idle)))
+    }
+
+    @Test
+    fun `limits and places hold for generated jobs and machines`() {
+        for (seed in 1..60) {
+            val random = Random(seed)
+            val t = TestBoard()
+            repeat(8) { umberslip.sim.Samples.job(random, it).let { s -> t.job { _ -> s } } }
+            for (i in 0..7) {
+                val (type, zone) = listOf("small", "large").random(random) to listOf("east", "west").random(random)
+                t.report("m$i", type = type, zone = zone, spot = random.nextBoolean())
+                t.deal("m$i")
+            }
+            for (dispatcher in t.board.teams.values) {
+                val used = t.board.machines.values.flatMap { it.assignments.values }.filter { it.job.spec.team == dispatcher.team.name }.sumOf { it.room.cpus }
+                assertEquals(used, dispatcher.usedCpus, 1e-6)
+                dispatcher.team.cpusMax?.let { assertTrue(used <= it + 1e-6) }
+            }
+            for (m in t.board.machines.values) {
+                assertTrue(m.capacity?.covers(m.used()) == true, "seed $seed: ${m.name} is overfull")
+                for (a in m.assignments.values) {
+                    assertTrue(a.job.spec.types?.contains(m.type) != false && a.job.spec.zone.let { it == null || it == m.zone })
+                    assertTrue(a.job.spec.spot || !m.spot)
+                }
+            }
+            for (job in t.board.jobs.values) {
+                if (job.spec.oneZone) assertTrue(job.zones.size <= 1)
+                assertTrue(job.zones.values.all { it <= job.spec.maxPerZone })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/dispatch/TestBoard.kt
@@ -0,0 +1,106 @@
+package umberslip.dispatch
+
+import umberslip.agents.Cause
+import umberslip.agents.Order
+import umberslip.agents.Piece
+import umberslip.agents.PieceStatus
+import umberslip.agents.Report
+import umberslip.cloud.HostName
+import umberslip.http.Documents
+import umberslip.records.JobRecord
+import umberslip.records.JobSpec
+import umberslip.records.Keys
+import umberslip.records.Replica
+import umberslip.records.Stamped
+import umberslip.records.TaskId
+import umberslip.records.Term
+import umberslip.settings.Settings
+import umberslip.settings.Timings
+import umberslip.settings.Tuning
+import umberslip.sim.Samples
+import umberslip.sim.World
+import umberslip.state.Change
+import umberslip.state.Stamp
+import umberslip.state.Write
+import java.time.Instant
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** A board with machines that report when told to, and a state service that takes every batch. */
+class TestBoard(val term: Term = Term(5), private val replica: Replica = Replica()) {
+    val settings = Settings.parse(Samples.settingsJson("c-0"))
+    val timings = Timings(settings.workers, Tuning())
+    val board = Board(settings, Tuning(), timings, term, Stamp(1), { Instant.EPOCH }).also { it.setFlavors(World.FLAVORS) }
+    var now: Duration = 100.seconds
+    var stamp = 100L
+    private val counters = HashMap<HostName, Long>()
+    private var made = 0
+    val written = ArrayList<Write>()
+
+    fun job(change: (JobSpec) -> JobSpec = { it }): RunningJob {
+        val number = ++made
+        val spec = change(
+            Samples.job(Random(1), number).copy(
+                team = "green", pieces = 3, cpus = 1.0, memoryGb = 1.0, types = null, zone = null, oneZone = false, spread = false, spot = true,
+                expectedSeconds = 10.0, dueSeconds = 60.0,
+            ),
+        )
+        val record = Stamped(JobRecord(spec, Instant.EPOCH, false), Stamp(++stamp))
+        replica.apply(Change.Put(Keys.job(spec.id), Documents.readCbor(Documents.writeCbor(record.value.toMap())), record.stamp))
+        board.jobChanged(spec.id, record, now)
+        return board.jobs.getValue(spec.id)
+    }
+
+    fun cancel(job: RunningJob) = board.jobChanged(job.spec.id, Stamped(job.record.value.copy(cancelled = true), Stamp(++stamp)), now)
+
+    fun report(
+        host: String, vararg pieces: Piece, warrant: Term = term, type: String = "small", zone: String = "east", spot: Boolean = false,
+        shift: Long = 1, counter: Long? = null, warning: Double? = null,
+    ): Verdict {
+        val name = HostName(host)
+        val next = counter ?: ((counters[name] ?: 0) + 1)
+        counters[name] = next
+        return board.report(Report(name, "", type, zone, spot, shift, next, warrant, warning, pieces.toList()), now)
+            .also { if (it == Verdict.ANSWER) board.answered(name, now) }
+    }
+
+    fun deal(host: String) = board.deal(machine(host), now) { false }
+
+    fun machine(host: String) = board.machines.getValue(HostName(host))
+
+    fun orders(host: String, mayStart: Boolean = true): List<Order> = board.orders(machine(host), mayStart)
+
+    fun starts(host: String): List<TaskId> = orders(host).filterIsInstance<Order.Start>().map { it.task }
+
+    /** Writes all that is due, as the state service would take it. */
+    fun write(): Int {
+        var ops = 0
+        while (true) {
+            val batch = board.nextBatch(settings.stateLimits.txnOps, now) ?: return ops
+            ops += batch.writes.size
+            written += batch.writes
+            stamp++
+            for (w in batch.writes) {
+                replica.apply(
+                    when (w) {
+                        is Write.Put -> Change.Put(w.key, Documents.readCbor(Documents.writeCbor(w.data)), Stamp(stamp))
+                        is Write.Drop -> Change.Drop(w.key, Stamp(stamp))
+                    },
+                )
+            }
+            board.applied(batch, Stamp(stamp))
+        }
+    }
+
+    fun successor() = TestBoard(term.next(), replica).also {
+        it.now = now
+        it.stamp = stamp
+        it.board.load(replica, now, now + 30.seconds)
+    }
+
+    companion object {
+        fun running(task: TaskId, attempt: Long) = Piece(task, attempt, PieceStatus.RUNNING, null, false)
+        fun ended(task: TaskId, attempt: Long, cause: Cause) = Piece(task, attempt, PieceStatus.ENDED, cause, false)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/http/HttpTest.kt
@@ -0,0 +1,46 @@
+package umberslip.http
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.net.InetSocketAddress
+import kotlin.time.Duration.Companion.seconds
+
+/** Server and client against each other, on loopback. */
+class HttpTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val server = HttpServer(group, 10) { request, respond ->
+        when (request.path) {
+            "/echo" -> respond(Response(200, mapOf("got" to request.fields().text("say"))))
+            "/fails" -> throw IllegalStateException("on purpose")
+            else -> respond(Response.error(404, "no such path"))
+        }
+    }.bind(InetSocketAddress("127.0.0.1", 0))
+    private val client = HttpClient(group, server.localAddress() as InetSocketAddress, 1 shl 20)
+
+    @AfterEach
+    fun stop() {
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).sync()
+    }
+
+    private fun call(path: String, body: Any?): Reply = runBlocking { client.call(HttpMethod.POST, path, body, 20.seconds) }
+
+    @Test
+    fun `bodies go both ways and connections are used again`() {
+        repeat(3) { assertEquals("hello $it", call("/echo", mapOf("say" to "hello $it")).fields().text("got")) }
+    }
+
+    @Test
+    fun `bad input is answered, and the next request is served`() {
+        assertEquals(400, call("/echo", listOf(1L)).status)
+        assertEquals(400, call("/echo", mapOf("other" to 1L)).status)
+        assertEquals(400, call("/echo", mapOf("say" to "x".repeat(70_000))).status)
+        assertEquals(503, call("/fails", emptyMap<String, Any?>()).status)
+        assertEquals(404, call("/nowhere", emptyMap<String, Any?>()).status)
+        assertEquals("still", call("/echo", mapOf("say" to "still")).fields().text("got"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/ownership/AuthorityTest.kt
@@ -0,0 +1,52 @@
+package umberslip.ownership
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import umberslip.records.Term
+import umberslip.settings.Settings
+import umberslip.settings.Timings
+import umberslip.settings.Tuning
+import umberslip.sim.Samples
+import umberslip.state.Hold
+import umberslip.state.Stamp
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class AuthorityTest {
+    private val workers = Settings.parse(Samples.settingsJson("c-0")).workers
+    private val timings = Timings(workers, Tuning())
+
+    @Test
+    fun `entitlement ends by the older of renewal and read, whatever their order`() = runBlocking<Unit> {
+        checkAll(PropTestConfig(seed = 8, iterations = 300), Arb.int(0..60_000), Arb.int(0..60_000), Arb.int(0..90_000)) { renewed, read, now ->
+            val a = Authority(timings)
+            a.won(Term(1), Stamp(1), Hold(1), 0.seconds)
+            a.renewed(renewed.milliseconds)
+            a.read(read.milliseconds)
+            val at = now.milliseconds
+            assertEquals(at < renewed.milliseconds + timings.hold - timings.margin, a.mayStart(at))
+            if (a.mayAnswer(at)) {
+                // A cancellation told just after the last read bites in time: the lease that this
+                // answer renews ends within the time that a cancellation has.
+                assertTrue(at + timings.lease + timings.margin < minOf(read, renewed).milliseconds + workers.cancel)
+            }
+        }
+    }
+
+    @Test
+    fun `nothing is allowed once ownership is lost`() {
+        val a = Authority(timings)
+        assertFalse(a.mayAnswer(0.seconds))
+        a.won(Term(1), Stamp(1), Hold(1), 0.seconds)
+        assertTrue(a.mayStart(1.seconds))
+        a.outranked()
+        assertFalse(a.mayStart(1.seconds) || a.mayAnswer(1.seconds))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/peers/PeerFrameTest.kt
@@ -0,0 +1,37 @@
+package umberslip.peers
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.byte
+import io.kotest.property.arbitrary.byteArray
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.string
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import okio.Buffer
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class PeerFrameTest {
+    private val fixed = PropTestConfig(seed = 5, iterations = 200)
+
+    @Test
+    fun `frames are read back as written`() = runBlocking<Unit> {
+        checkAll(fixed, Arb.string(0, 40)) { member ->
+            val bytes = PeerFrame.News(member).encode()
+            assertEquals(bytes.readInt().toLong(), bytes.size)
+            assertEquals(PeerFrame.News(member), PeerFrame.decode(bytes))
+        }
+    }
+
+    @Test
+    fun `garbage gives no frame and no failure`() = runBlocking<Unit> {
+        assertNull(PeerFrame.decode(Buffer()))
+        checkAll(fixed, Arb.byteArray(Arb.int(0..40), Arb.byte())) { bytes ->
+            val frame = PeerFrame.decode(Buffer().write(bytes))
+            assertTrue(frame == null || bytes[0].toInt() == 1)
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/records/RecordsTest.kt
@@ -0,0 +1,138 @@
+package umberslip.records
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.long
+import io.kotest.property.arbitrary.string
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import umberslip.cloud.HostName
+import umberslip.http.Documents
+import umberslip.http.Fields
+import umberslip.http.Malformed
+import umberslip.sim.Samples
+import umberslip.state.Change
+import umberslip.state.Entry
+import umberslip.state.Hold
+import umberslip.state.Stamp
+import java.time.Instant
+import java.util.BitSet
+import kotlin.random.Random
+
+class RecordsTest {
+    private val fixed = PropTestConfig(seed = 99, iterations = 200)
+
+    private fun wire(map: Map<String, Any?>): Any? = Documents.readCbor(Documents.writeCbor(map))
+
+    private fun placements(random: Random, from: Int, count: Int) =
+        List(count) { Placement(from + it, random.nextLong(1, 1L shl 40), HostName("host-%06d".format(random.nextInt(1_000_000)))) }
+
+    @Test
+    fun `jobs and their specs are read back as written`() = runBlocking<Unit> {
+        checkAll(fixed, Arb.long()) { seed ->
+            val spec = Samples.job(Random(seed), 7)
+            assertEquals(spec, JobSpec.parse(Fields.of(wire(spec.toMap()))))
+            val job = JobRecord(spec, Instant.ofEpochMilli(seed and 0xffffff), seed % 2 == 0L)
+            assertEquals(job, JobRecord.parse(wire(job.toMap())))
+        }
+    }
+
+    @Test
+    fun `a chunk of any progress is read back and fits into a value`() = runBlocking<Unit> {
+        for (bytes in listOf(2048, 8192, 32768)) {
+            val size = ChunkRecord.tasksPerChunk(bytes)
+            checkAll(fixed.copy(iterations = 30), Arb.long()) { seed ->
+                val random = Random(seed)
+                val done = BitSet().apply { repeat(size) { if (random.nextBoolean()) set(it) } }
+                val base = 90_000
+                val record = ChunkRecord(done, placements(random, base, size).filter { !done.get(it.index - base) }, 1L shl 40, 5L shl 32)
+                assertEquals(record, ChunkRecord.parse(wire(record.toMap())))
+                assertTrue(Documents.jsonSize(record.toMap()) <= bytes)
+            }
+        }
+    }
+
+    @Test
+    fun `logged starts are read back, and their size is never underestimated`() = runBlocking<Unit> {
+        checkAll(fixed, Arb.long(), Arb.int(1..6)) { seed, jobs ->
+            val random = Random(seed)
+            val record = StartsRecord(seed, (1..jobs).associate { JobId("run-%06d".format(it)) to placements(random, 0, random.nextInt(1, 20)) })
+            assertEquals(record, StartsRecord.parse(wire(record.toMap())))
+            val estimate = StartsRecord.FIXED_BYTES + record.starts.entries.sumOf { (job, all) -> StartsRecord.bytes(job) + all.sumOf(StartsRecord::bytes) }
+            assertTrue(Documents.jsonSize(record.toMap()) <= estimate)
+        }
+    }
+
+    @Test
+    fun `ids are what the keys can hold`() = runBlocking<Unit> {
+        checkAll(fixed, Arb.string(0, 20)) { text ->
+            val id = JobId.parse(text)
+            if (id != null) {
+                assertEquals(id, Keys.asJob(Keys.job(id)))
+                assertEquals(id to 3, Keys.asChunk(Keys.chunk(id, 3)))
+                assertEquals(TaskId(id, 12), TaskId.parse(TaskId(id, 12).toString()))
+            }
+        }
+        assertNotNull(JobId.parse("run-000412"))
+        listOf("", "a b", "a/b", "-a", "a?", "ä").forEach { assertNull(JobId.parse(it), it) }
+        listOf("run-1", "run-1/", "run-1/-1", "run-1/x", "/1").forEach { assertNull(TaskId.parse(it), it) }
+    }
+
+    @Test
+    fun `a malformed job is refused`() {
+        val good = Samples.job(Random(1), 1).toMap()
+        for ((field, bad) in listOf("uid" to "a b", "uid" to 5L, "pieces" to 0L, "pieces" to 100_001L, "pieces" to 2.5, "vcpus" to -1.0, "shape" to "round", "urgency" to null, "hosttypes" to "g8", "due_s" to "soon")) {
+            assertThrows(Malformed::class.java, { JobSpec.parse(Fields.of(good + (field to bad))) }, "$field $bad")
+        }
+    }
+
+    @Test
+    fun `the replica comes to the same whatever order and repetition changes come in`() = runBlocking<Unit> {
+        val specs = List(4) { Samples.job(Random(it), it) }
+        checkAll(fixed, Arb.long()) { seed ->
+            val random = Random(seed)
+            val last = HashMap<String, Change>()
+            val all = ArrayList<Change>()
+            for (stamp in 1L..40L) {
+                val spec = specs[random.nextInt(specs.size)]
+                val key = Keys.job(spec.id)
+                val change = if (last[key] is Change.Put && random.nextInt(3) == 0) Change.Drop(key, Stamp(stamp))
+                else Change.Put(key, wire(JobRecord(spec, Instant.EPOCH, random.nextBoolean()).toMap()), Stamp(stamp))
+                last[key] = change
+                all += change
+            }
+            val replica = Replica()
+            // Every change once in order, with older ones seen again in between.
+            all.forEachIndexed { i, change ->
+                replica.apply(change)
+                val old = all[random.nextInt(i + 1)]
+                if (old is Change.Drop) replica.apply(old)
+            }
+            val want = last.values.filterIsInstance<Change.Put>().map { it.stamp }.toSet()
+            assertEquals(want, replica.jobs().values.map { it.stamp }.toSet())
+            // Reading everything anew gives the same.
+            val anew = Replica()
+            anew.apply(all.first())
+            anew.replace(last.values.filterIsInstance<Change.Put>().map { Entry(it.key, it.data, it.stamp) })
+            assertEquals(want, anew.jobs().values.map { it.stamp }.toSet())
+        }
+    }
+
+    @Test
+    fun `a corrupt record is left alone and its neighbours are read`() {
+        val spec = Samples.job(Random(3), 3)
+        val replica = Replica()
+        replica.apply(Change.Put("u/job/run-000001", mapOf("spec" to 5L), Stamp(1)))
+        replica.apply(Change.Put(Keys.job(spec.id), wire(JobRecord(spec, Instant.EPOCH, false).toMap()), Stamp(2)))
+        replica.apply(Change.Put(Keys.OWNER, wire(OwnerRecord("c-1", Term(4), Hold(9)).toMap()), Stamp(3)))
+        assertEquals(setOf(spec.id), replica.jobs().keys)
+        assertEquals(OwnerRecord("c-1", Term(4), Hold(9)), replica.owner?.value)
+    }
+}
