--- a/src/main/kotlin/umberslip/daemon/Controller.kt
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -43,6 +43,7 @@
     wallClock: () -> Instant,
     metrics: MeterRegistry,
     private val tellPeers: () -> Unit,
+    private val reaches: (String) -> Boolean,
     private val scrape: () -> String,
 ) {
     private val log = LoggerFactory.getLogger("umberslip.daemon")
@@ -150,8 +151,10 @@
             pass(owner.tell(OwnerMessage.Reported(report, respond)), respond)
             return
         }
-        val other = ownerMember
-        respond(Response(421, if (other == null || other == settings.member) emptyMap<String, Any?>() else mapOf("dispatcher" to other)))
+        // Sent to a controller that cannot be reached, a worker would lose seconds of its lease there;
+        // sent on without a name it asks around and finds the next owner as soon as there is one.
+        val other = ownerMember?.takeIf { it != settings.member && reaches(it) }
+        respond(Response(421, if (other == null) emptyMap<String, Any?>() else mapOf("dispatcher" to other)))
     }
 
     private companion object {
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -62,6 +62,7 @@
     private val gone = HashSet<HostName>()
     private val unneededSince = HashMap<HostName, Duration>()
     private var requests = 0
+    private var failures = 0
     private var noted: Set<HostName> = emptySet()
     private var notedAt = Duration.ZERO
     private var summaryAt = Duration.ZERO
@@ -72,12 +73,12 @@
         while (true) {
             try {
                 round()
+                if (failures > 0) log.info("the cloud serves again after {} failures", failures)
+                failures = 0
             } catch (e: Unavailable) {
-                log.info("the cloud does not serve: {}", e.message)
-                delay(TROUBLE)
+                failed(e.message)
             } catch (e: NoAnswer) {
-                log.info("the cloud does not answer: {}", e.message)
-                delay(TROUBLE)
+                failed(e.message)
             } catch (e: Malformed) {
                 log.error("the cloud's answer cannot be read: {}", e.message)
                 delay(TROUBLE)
@@ -86,6 +87,11 @@
         }
     }
 
+    private suspend fun failed(why: String?) {
+        if (failures++ == 0) log.warn("the cloud does not serve: {}", why)
+        delay(TROUBLE)
+    }
+
     /** A new owner starts from what its predecessor noted; the rest shows in the list and in reports. */
     fun tookOver(noted: Any?, first: Boolean) {
         tookOverAt = clock.now()
@@ -128,7 +134,7 @@
         for (m in view.machines) if (m.silentFor != null) booting.remove(m.name)
         if (listedAt?.let { now - it > LIST_EVERY } != false) list(view, now)
         if (now < settledAt) return
-        giveUpBooting(now)
+        giveUpBooting(view, now)
         if (booting.keys != noted && now - notedAt > NOTE_EVERY) note()
         val plan = planner.plan(view, booting.values.toList(), flavors) { (shut[it] ?: Duration.ZERO) > now }
         if (summaryAt + SUMMARY_EVERY <= now) {
@@ -214,15 +220,18 @@
             when {
                 host.status == HostStatus.FAILED -> releases += host.name
                 heard != null -> Unit
-                host.name in booting -> Unit
+                host.name in booting -> if (host.status == HostStatus.RUNNING) booting.computeIfPresent(host.name) { _, b -> b.copy(up = true) }
                 // Rented by a former owner, or by a request that came late: used like any other.
-                else -> booting[host.name] = Booting(host.name, Offer(host.type, host.zone, host.spot), now - host.age)
+                else -> booting[host.name] = Booting(host.name, Offer(host.type, host.zone, host.spot), now - host.age, host.status == HostStatus.RUNNING)
             }
         }
     }
 
-    private fun giveUpBooting(now: Duration) {
+    private fun giveUpBooting(view: FleetView, now: Duration) {
+        val heardZones = view.machines.filter { m -> m.silentFor.let { it != null && it < settings.workers.lease } }.map { it.offer.zone }.toSet()
         for (b in booting.values.toList()) {
+            // A zone of which nothing is heard is cut off; its machines come back with it.
+            if (b.up && b.offer.zone !in heardZones && now - tookOverAt < CUT_PATIENCE) continue
             val boot = flavors[b.offer.type]?.boot ?: continue
             // A machine that was up before this owner may be out of reach for a while with work on it.
             if (now - tookOverAt < settings.workers.lease * 2) continue
@@ -291,6 +300,7 @@
         val ROUND = 700.milliseconds
         val TROUBLE = 1.seconds
         val FLAVORS_EVERY = 60.seconds
+        val CUT_PATIENCE = 120.seconds
         val NOTE_EVERY = 3.seconds
         val SUMMARY_EVERY = 10.seconds
         val LIST_EVERY = 5.seconds
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -90,8 +90,8 @@
     }
 }
 
-/** A machine that was rented and has not reported yet. */
-data class Booting(val name: HostName, val offer: Offer, val since: Duration)
+/** A machine that was rented and has not reported yet; [up] once the cloud lists it as running. */
+data class Booting(val name: HostName, val offer: Offer, val since: Duration, val up: Boolean = false)
 
 data class Rent(val offer: Offer, val number: Int)
 
--- a/src/main/kotlin/umberslip/peers/Peers.kt
+++ b/src/main/kotlin/umberslip/peers/Peers.kt
@@ -16,32 +16,54 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import okio.Buffer
 import okio.EOFException
 import umberslip.actor.Actor
+import umberslip.actor.Clock
 import umberslip.settings.Peer
 import java.net.InetSocketAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** What controllers tell one another; losing any of it does no harm. */
 sealed interface PeerFrame {
     /** A job was accepted or cancelled: whoever owns should read the records now. */
     data class News(val from: String) : PeerFrame
 
+    /** Asks whether the other is there. */
+    data class Ping(val from: String) : PeerFrame
+
+    /** The answer to a ping. */
+    data class Pong(val from: String) : PeerFrame
+
     fun encode(): Buffer {
         val body = Buffer()
         when (this) {
             is News -> body.writeByte(NEWS).writeUtf8(from)
+            is Ping -> body.writeByte(PING).writeUtf8(from)
+            is Pong -> body.writeByte(PONG).writeUtf8(from)
         }
         return Buffer().writeInt(body.size.toInt()).apply { writeAll(body) }
     }
 
     companion object {
         private const val NEWS = 1
+        private const val PING = 2
+        private const val PONG = 3
         const val MAX_BYTES = 1024
 
         /** Null for what cannot be read, or is of a kind not known yet. */
         fun decode(body: Buffer): PeerFrame? = try {
-            if (body.readByte().toInt() == NEWS) News(body.readUtf8()) else null
+            when (body.readByte().toInt()) {
+                NEWS -> News(body.readUtf8())
+                PING -> Ping(body.readUtf8())
+                PONG -> Pong(body.readUtf8())
+                else -> null
+            }
         } catch (e: EOFException) {
             null
         }
@@ -50,20 +72,39 @@
 
 sealed interface PeersMessage {
     data object Announce : PeersMessage
-    class Received(val frame: PeerFrame) : PeersMessage
+    data object Tick : PeersMessage
+    class Received(val frame: PeerFrame, val channel: Channel) : PeersMessage
     class Opened(val peer: Peer, val channel: Channel?) : PeersMessage
 }
 
-/** The link to the other controllers: hints only, so that an owner hears of new work at once. */
+/**
+ * The link to the other controllers: hints only, so that an owner hears of new work at once, and
+ * workers are not sent to a controller that cannot be reached.
+ */
 class Peers(
-    scope: CoroutineScope,
+    private val scope: CoroutineScope,
     private val group: EventLoopGroup,
     private val member: String,
     private val known: List<Peer>,
+    private val clock: Clock,
     private val onNews: () -> Unit,
 ) : Actor<PeersMessage>("peers", scope, capacity = 256) {
     private val channels = HashMap<String, Channel>()
     private val opening = HashSet<String>()
+    private val heard = HashMap<String, Duration>()
+
+    /** Whether a controller has answered lately; that it has not does not prove that it is dead. */
+    fun reaches(member: String): Boolean = heard[member]?.let { clock.now() - it < SILENT } ?: false
+
+    override fun start(): Job {
+        scope.launch {
+            while (true) {
+                tell(PeersMessage.Tick)
+                delay(PING_EVERY)
+            }
+        }
+        return super.start()
+    }
 
     fun bind(address: InetSocketAddress): Channel = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_REUSEADDR, true)
@@ -76,33 +117,51 @@
 
     override suspend fun receive(message: PeersMessage) {
         when (message) {
-            PeersMessage.Announce -> known.forEach(::announce)
-            is PeersMessage.Received -> onNews()
+            PeersMessage.Announce -> known.forEach { send(it, PeerFrame.News(member)) }
+            PeersMessage.Tick -> known.forEach { send(it, PeerFrame.Ping(member)) }
+            is PeersMessage.Received -> when (val frame = message.frame) {
+                is PeerFrame.News -> onNews()
+                is PeerFrame.Ping -> write(message.channel, PeerFrame.Pong(member))
+                is PeerFrame.Pong -> heard[frame.from] = clock.now()
+            }
             is PeersMessage.Opened -> {
                 opening -= message.peer.member
                 val channel = message.channel ?: return
                 channels[message.peer.member] = channel
-                announce(message.peer)
+                // What was to be said when there was no connection may have been news.
+                write(channel, PeerFrame.News(member))
+                write(channel, PeerFrame.Ping(member))
             }
         }
     }
 
-    private fun announce(peer: Peer) {
+    private fun send(peer: Peer, frame: PeerFrame) {
         val channel = channels[peer.member]
-        if (channel == null || !channel.isActive) {
-            channels.remove(peer.member)
+        // A connection over which nothing comes back any more is given up for a new one.
+        val stuck = channel != null && !reaches(peer.member) && heard[peer.member]?.let { clock.now() - it > GIVE_UP } == true
+        if (channel == null || !channel.isActive || stuck) {
+            channels.remove(peer.member)?.close()
+            if (stuck) heard.remove(peer.member)
             open(peer)
-        } else if (channel.isWritable) {
-            channel.writeAndFlush(Unpooled.wrappedBuffer(PeerFrame.News(member).encode().readByteArray()))
+        } else {
+            write(channel, frame)
         }
     }
 
+    private fun write(channel: Channel, frame: PeerFrame) {
+        if (channel.isWritable) channel.writeAndFlush(Unpooled.wrappedBuffer(frame.encode().readByteArray()))
+    }
+
     private fun open(peer: Peer) {
         if (!opening.add(peer.member)) return
         Bootstrap().group(group).channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
             .handler(object : ChannelInitializer<SocketChannel>() {
-                override fun initChannel(channel: SocketChannel) = Unit
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(LengthFieldBasedFrameDecoder(PeerFrame.MAX_BYTES, 0, 4, 0, 4), Inbound())
+                    // A process that ended closes its connections: it is not reached from then on.
+                    channel.closeFuture().addListener { heard.remove(peer.member) }
+                }
             })
             .connect(peer.address)
             .addListener(ChannelFutureListener { tell(PeersMessage.Opened(peer, if (it.isSuccess) it.channel() else null)) })
@@ -117,7 +176,7 @@
                 log.warn("a frame from {} cannot be read: connection closed", ctx.channel().remoteAddress())
                 ctx.close()
             } else {
-                tell(PeersMessage.Received(frame))
+                tell(PeersMessage.Received(frame, ctx.channel()))
             }
         }
 
@@ -130,5 +189,8 @@
 
     private companion object {
         const val CONNECT_MILLIS = 1000
+        val PING_EVERY = 500.milliseconds
+        val SILENT = 1500.milliseconds
+        val GIVE_UP = 4.seconds
     }
 }
