--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -115,8 +115,8 @@
         for (m in view.machines) {
             val room = m.capacity ?: continue
             if (m.sick || m.takenIn != null || m.silentFor == null || m.silentFor > SILENT) continue
-            val need = m.running.sumOf { need(it, room) }
-            running[m.name] = need
+            running[m.name] = m.running.sumOf { need(it, room, tuning.drain) }
+            val need = m.running.sumOf { need(it, room, tuning.drain + tuning.boot) }
             supply += Supply(m.offer, room, price(m.offer), m.name, true, (room.cpus - need).coerceAtLeast(0.0), need > 0)
         }
         for (b in booting) {
@@ -129,33 +129,31 @@
         // The most constrained work chooses first.
         val groups = view.waiting.groupBy { it.where }.entries.sortedBy { (where, _) -> offers.count(where::allows) }
         for ((where, works) in groups) {
+            val dearFrom = (offers.filter(where::allows).minOfOrNull(::price) ?: Double.MAX_VALUE) * DEAR
             // Up machines are filled first, the fullest of the cheapest; then those that boot.
-            var open = works.filter { it.tasks > 0 }.map { it to it.tasks * perTask(it) }
-            val existing = supply.filter { where.allows(it.offer) && it.left > 0 }
-                .sortedWith(compareBy({ it.price > cheapest(offers, where, ::price) * DEAR }, { !it.up }, { !it.used }, { it.price }))
-            val cheap = existing.filter { it.price <= cheapest(offers, where, ::price) * DEAR }
-            open = fill(open, cheap)
+            val existing = supply.filter { where.allows(it.offer) && it.left > 0 }.sortedWith(compareBy({ !it.up }, { !it.used }, { it.price }))
+            val (dearSupply, cheapSupply) = existing.partition { it.price > dearFrom }
+            var open = works.map { it to it.tasks.toDouble() }
+            open = fill(open, cheapSupply, dear = false)
             var dear = false
             for (offer in offers.filter(where::allows)) {
-                val total = open.sumOf { it.second }
-                if (total <= 0) break
-                if (!dear && price(offer) > cheapest(offers, where, ::price) * DEAR) {
-                    // What can wait for a cheap machine is not worth a dear one; and dear ones that
-                    // are up serve before more are rented.
+                if (open.isEmpty()) break
+                if (!dear && price(offer) > dearFrom) {
+                    // Dear ones that are up serve before more are rented.
                     dear = true
-                    open = fill(open.map { (work, amount) -> work to amount * patience(work) }, existing - cheap.toSet())
+                    open = fill(open, dearSupply, dear = true)
                 }
                 val flavor = flavors.getValue(offer.type)
                 val room = Room.of(flavor)
-                val fitting = open.filter { room.covers(it.first.room) }.sumOf { it.second }
+                val fitting = open.filter { room.covers(it.first.room) }.sumOf { (work, tasks) -> tasks * share(work, horizon(work, false, dear)) }
                 if (fitting < flavor.cpus * WORTH) continue
                 val number = ceil(fitting / flavor.cpus - WORTH).toInt().coerceIn(1, MAX_RENT)
                 rent.merge(offer, number, Int::plus)
                 val fresh = List(number) { Supply(offer, room, price(offer), null, false, flavor.cpus) }
                 supply += fresh
-                open = fill(open, fresh)
+                open = fill(open, fresh, dear)
             }
-            if (!dear) open = fill(open.map { (work, amount) -> work to amount * patience(work) }, existing)
+            if (!dear) open = fill(open, dearSupply, dear = true)
             // What is left is too little for a machine of its own, unless there is none at all.
             if (open.isNotEmpty() && supply.none { where.allows(it.offer) && it.used }) {
                 offers.firstOrNull { o -> where.allows(o) && open.any { Room.of(flavors.getValue(o.type)).covers(it.first.room) } }?.let {
@@ -172,7 +170,7 @@
      */
     private fun unneeded(view: FleetView, supply: List<Supply>, running: Map<HostName, Double>): Set<HostName> {
         val up = supply.filter { it.up }
-        val waiting = view.waiting.sumOf { it.tasks * perTask(it) }
+        val waiting = view.waiting.sumOf { it.tasks * share(it, tuning.drain) }
         var slack = up.sumOf { it.room.cpus } - running.values.sum() - waiting
         val out = HashSet<HostName>()
         for (s in up.sortedWith(compareBy({ -it.price }, { running[it.name] ?: 0.0 }))) {
@@ -186,37 +184,38 @@
         return out
     }
 
-    private fun cheapest(offers: List<Offer>, where: Where, price: (Offer) -> Double): Double =
-        offers.filter(where::allows).minOfOrNull(price) ?: Double.MAX_VALUE
-
-    private fun fill(open: List<Pair<Work, Double>>, supply: List<Supply>): List<Pair<Work, Double>> {
+    /** Puts tasks on machines; what finds no room is left. */
+    private fun fill(open: List<Pair<Work, Double>>, supply: List<Supply>, dear: Boolean): List<Pair<Work, Double>> {
         val left = ArrayList<Pair<Work, Double>>()
-        for ((work, amount) in open) {
-            var rest = amount
+        for ((work, tasks) in open) {
+            var rest = tasks
             for (s in supply) {
                 if (rest <= 0) break
                 if (s.left <= 0 || !s.room.covers(work.room)) continue
-                val weight = weight(work.room, s.room)
-                val taken = minOf(s.left, rest * weight)
+                val each = share(work, horizon(work, s.up, dear)) * weight(work.room, s.room)
+                val taken = minOf(s.left, rest * each)
                 s.left -= taken
                 s.used = true
                 s.claimed = true
-                rest -= taken / weight
+                rest -= taken / each
             }
             if (rest > 1e-6) left += work to rest
         }
         return left
     }
 
-    /** The share of its need that work still has when it is given a quarter of its slack instead of the drain time. */
-    private fun patience(work: Work): Double {
-        val whole = minOf(1.0, work.seconds.seconds / tuning.drain)
-        val stretched = minOf(1.0, work.seconds.seconds / maxOf(tuning.drain, work.slack / 4))
-        return stretched / whole
+    /**
+     * The time within which machines should get work done. Those that are up work on while others
+     * would still boot; and what can wait for a cheap machine is not worth a dear one.
+     */
+    private fun horizon(work: Work, up: Boolean, dear: Boolean): Duration {
+        val drain = if (up) tuning.drain + tuning.boot else tuning.drain
+        return if (dear) maxOf(drain, work.slack / 4) else drain
     }
 
-    /** Processors that a task keeps busy over the drain time. */
-    private fun perTask(work: Work): Double = work.room.cpus.coerceAtLeast(0.1) * minOf(1.0, work.seconds.seconds / tuning.drain)
+    /** Processors that a task keeps busy over that time. */
+    private fun share(work: Work, horizon: Duration): Double =
+        work.room.cpus.coerceAtLeast(0.1) * minOf(1.0, work.seconds.seconds / horizon)
 
     /** Memory counts as the processors that it blocks. */
     private fun weight(task: Room, machine: Room): Double {
@@ -224,7 +223,7 @@
         return maxOf(1.0, byMemory / task.cpus.coerceAtLeast(0.1))
     }
 
-    private fun need(work: Work, room: Room): Double = work.tasks * perTask(work) * weight(work.room, room)
+    private fun need(work: Work, room: Room, horizon: Duration): Double = work.tasks * share(work, horizon) * weight(work.room, room)
 
     private companion object {
         /** From this times the cheapest price on, a machine is dear: kept no longer than needed. */
--- a/src/main/kotlin/umberslip/settings/Tuning.kt
+++ b/src/main/kotlin/umberslip/settings/Tuning.kt
@@ -17,6 +17,8 @@
     val roundBudget: Duration = 8.milliseconds,
     /** Enough machines are kept to finish the known work in about this time. */
     val drain: Duration = 30.seconds,
+    /** About as long as a rented machine takes until it works. */
+    val boot: Duration = 25.seconds,
     /** A machine that is not needed is returned after this long. */
     val idle: Duration = 15.seconds,
 ) {
@@ -30,7 +32,7 @@
             val known = mapOf(
                 "ownership" to setOf("hold_s", "margin_s"),
                 "dispatch" to setOf("round_budget_ms"),
-                "fleet" to setOf("drain_s", "idle_s"),
+                "fleet" to setOf("drain_s", "boot_s", "idle_s"),
             )
             for (section in config.entrySet()) {
                 val names = known[section.key] ?: throw BadSettings("operators' settings: unknown section ${section.key}")
@@ -51,6 +53,7 @@
                 margin = number("ownership.margin_s")?.seconds ?: d.margin,
                 roundBudget = number("dispatch.round_budget_ms")?.milliseconds ?: d.roundBudget,
                 drain = number("fleet.drain_s")?.seconds ?: d.drain,
+                boot = number("fleet.boot_s")?.seconds ?: d.boot,
                 idle = number("fleet.idle_s")?.seconds ?: d.idle,
             )
         }
