--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -26,6 +26,7 @@
 import umberslip.records.StartsRecord
 import umberslip.records.TaskId
 import umberslip.records.Term
+import umberslip.records.Urgency
 import umberslip.settings.Objective
 import umberslip.settings.Settings
 import umberslip.settings.Timings
@@ -156,6 +157,7 @@
         val job = RunningJob(record.value.spec, record, perChunk, targets(record.value.spec).map { now - age + it })
         job.gatherBound = settings.workers.gangWait
         job.lastPlaced = now
+        job.waitingSince = now
         jobs[id] = job
         team.add(job)
     }
@@ -450,6 +452,7 @@
         }
         for (job in jobs.values) gatherInTime(job, now)
         for (team in teams.values) keepMachine(team, now)
+        preempt(now)
     }
 
     /**
@@ -507,6 +510,45 @@
         }
     }
 
+    /**
+     * Makes room for work that found none: of a more urgent job, or of a team below its guarantee
+     * from one beyond its own. Only tasks that save are stopped, those with the most time left first,
+     * since others would lose their work; and none that began a short while ago.
+     */
+    private fun preempt(now: Duration) {
+        val machinesUp = machines.values.filter { it.usable }
+        if (machinesUp.isEmpty()) return
+        // What is being stopped already makes room for the first in need.
+        var coming = machinesUp.sumOf { m -> m.assignments.values.sumOf { if (it.windDown != null) it.room.cpus else 0.0 } }
+        val needy = teams.values.flatMap { team -> team.jobs().filter { it.waiting > 0 && it.notBefore <= now && now - it.waitingSince > PATIENCE }.map { team to it } }
+            .filter { (_, job) -> job.spec.shape == Shape.ARRAY }
+            .sortedWith(compareBy({ (team, job) -> !team.withinGuarantee(job.room) }, { (_, job) -> job.spec.urgency }, { (_, job) -> job.due }))
+        for ((team, job) in needy) {
+            if (!team.withinLimit(job.room)) continue
+            val owed = team.withinGuarantee(job.room)
+            var need = job.waiting * job.room.cpus
+            team.team.cpusMax?.let { need = minOf(need, it - team.usedCpus) }
+            if (owed && job.spec.urgency == Urgency.IDLE) need = minOf(need, team.team.cpus - team.usedCpus)
+            need -= machinesUp.sumOf { m -> if (Dispatcher.allowed(job, m)) (m.free()?.times(job.room) ?: 0) * job.room.cpus else 0.0 }
+            val covered = minOf(coming, need.coerceAtLeast(0.0))
+            coming -= covered
+            need -= covered
+            if (need <= 0) continue
+            val victims = machinesUp.filter { Dispatcher.allowed(job, it) }.flatMap { it.assignments.values }.filter { a ->
+                val since = a.runningSince
+                val other = teams[a.job.spec.team]
+                a.windDown == null && a.status == PieceStatus.RUNNING && a.job.spec.checkpointSeconds > 0 && a.job.spec.shape == Shape.ARRAY &&
+                    since != null && now - since >= SETTLED && a.job.expected().seconds - (now - since) > WORTH_MOVING &&
+                    (a.job.spec.urgency > job.spec.urgency || (owed && other != null && other !== team && other.usedCpus > other.team.cpus))
+            }.sortedWith(compareBy({ -it.job.spec.urgency.ordinal }, { -it.job.due.inWholeMilliseconds }))
+            for (a in victims) {
+                if (need <= 0) break
+                stop(a, a.job.spec.savingSeconds.seconds)
+                need -= a.room.cpus
+            }
+        }
+    }
+
     /** Asks a task to stop; all tasks of a gang are asked together, so that it can save as one. */
     fun stop(a: Assignment, windDown: Duration) {
         val all = if (a.job.spec.shape == Shape.GANG) a.job.assigned.values else listOf(a)
@@ -676,6 +718,7 @@
         const val MAX_ORDERS = 300
         const val MAX_TXN_BYTES = 50_000
         val SETTLED = 32.seconds
+        val PATIENCE = 1500.milliseconds
         val WORTH_MOVING = 10.seconds
         val HUNGRY = 30.seconds
         const val LOG_SLOTS = 48
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -87,6 +87,8 @@
     /** When a task of the job was last placed, or the job came. */
     var lastPlaced: Duration = Duration.ZERO
 
+    var waitingSince: Duration = Duration.ZERO
+
     /** Own observation of a task's run time, once there is one. */
     var observedSeconds: Double? = null
 
