--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -280,8 +280,10 @@
         val heard = view.machines.groupBy { it.offer.zone }.mapValues { (_, all) -> all.count { silence(it) < settings.workers.report * 3 } * 2 > all.size }
         // A machine that only the records name has no zone here; most of all machines must be heard.
         val most = view.machines.count { silence(it) < settings.workers.report * 3 } * 2 > view.machines.size
+        val silentZones = view.machines.groupBy { it.offer.zone }.filterValues { all -> all.all { silence(it) > settings.workers.lease } }.keys
         return view.machines.filter { m ->
-            (m.leaseOver && m.silentFor != null) ||
+            // The machines of a zone that is silent as a whole come back, empty, when the cut ends.
+            (m.leaseOver && m.silentFor != null && (m.offer.zone !in silentZones || silence(m) > CUT_PATIENCE)) ||
                 (m.tasks > 0 && silence(m) > patience && most && (m.offer.zone.isEmpty() || heard[m.offer.zone] == true))
         }.map { it.name }
     }
