--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -56,6 +56,12 @@
     var firstHeard: Duration? = null
     var lastHeard: Duration? = null
 
+    /** When another controller was last known to have answered it; a hint, no proof of anything. */
+    var relayedAt: Duration? = null
+
+    /** When its records were taken over. */
+    var loadedAt: Duration = Duration.ZERO
+
     /** From then on, every lease that any controller can have renewed has run out. */
     var leaseEnd: Duration = Duration.ZERO
 
@@ -96,6 +102,9 @@
         return left ?: Duration.ZERO
     }
 
+    /** For how long nothing was heard of it, directly or from another controller. */
+    fun silence(now: Duration): Duration = now - maxOf(lastHeard ?: loadedAt, relayedAt ?: Duration.ZERO)
+
     fun used(): Room {
         var cpus = 0.0
         var gpus = 0.0
--- a/src/main/kotlin/umberslip/daemon/Controller.kt
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import umberslip.actor.Clock
@@ -10,17 +11,22 @@
 import umberslip.agents.Relay
 import umberslip.agents.Report
 import umberslip.cloud.Cloud
+import umberslip.cloud.HostName
 import umberslip.dispatch.Owner
 import umberslip.dispatch.OwnerMessage
 import umberslip.fleet.Fleet
 import umberslip.http.Malformed
+import umberslip.http.NoAnswer
 import umberslip.http.Request
 import umberslip.http.Response
+import umberslip.http.Unavailable
 import umberslip.ownership.Authority
 import umberslip.ownership.Ownership
 import umberslip.ownership.OwnershipListener
+import umberslip.records.HostsRecord
 import umberslip.records.JobId
 import umberslip.records.JobSpec
+import umberslip.records.Keys
 import umberslip.records.Reader
 import umberslip.records.ReaderMessage
 import umberslip.records.RecordEvent
@@ -31,15 +37,17 @@
 import umberslip.settings.Tuning
 import umberslip.state.Pacer
 import umberslip.state.StateService
+import umberslip.state.Write
 import java.time.Instant
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** A controller without its sockets: its actors, and the routes of its HTTP interface. */
 class Controller(
     private val scope: CoroutineScope,
     private val settings: Settings,
     tuning: Tuning,
-    state: StateService,
+    private val state: StateService,
     cloud: Cloud,
     clock: Clock,
     wallClock: () -> Instant,
@@ -78,6 +86,7 @@
     )
 
     private var relaying = 0
+    private val relayed = HashSet<HostName>()
 
     /** Whom workers are sent to, as the records last showed. */
     private var ownerMember: String? = null
@@ -86,6 +95,26 @@
         listOf(reader, admission, owner).forEach { it.start() }
         ownership.start()
         fleet.start()
+        scope.launch {
+            while (true) {
+                delay(NOTE_EVERY)
+                noteRelayed()
+            }
+        }
+    }
+
+    /** Tells the owner, which the workers cannot reach, that they are alive. */
+    private suspend fun noteRelayed() {
+        if (relayed.isEmpty()) return
+        val hosts = relayed.take(MAX_RELAYING).toSet()
+        relayed.clear()
+        try {
+            state.txn(emptyList(), listOf(Write.Put(Keys.relayed(settings.member), HostsRecord(hosts).toMap())))
+        } catch (e: Unavailable) {
+            log.debug("relayed machines not noted: {}", e.message)
+        } catch (e: NoAnswer) {
+            log.debug("relayed machines perhaps not noted: {}", e.message)
+        }
     }
 
     /** Another controller wrote something that the owner should see soon. */
@@ -171,6 +200,7 @@
         scope.launch {
             val answer = reader.confirm()?.let { Relay.answer(report, it) }
             relaying--
+            if (answer != null) relayed += report.host
             respond(if (answer == null) NOT_HERE else Response(200, mapOf("warrant" to answer.first, "orders" to answer.second.map { it.toMap() })))
         }
     }
@@ -181,6 +211,7 @@
         const val ACCEPT_SHARE = 0.5
         const val OWNER_SHARE = 0.7
         const val MAX_RELAYING = 200
+        val NOTE_EVERY = 3.seconds
         val NOT_HERE = Response(421, emptyMap<String, Any?>())
     }
 }
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -13,7 +13,7 @@
 import umberslip.cloud.Flavor
 import umberslip.cloud.HostName
 import umberslip.records.ChunkRecord
-import umberslip.records.CondemnedRecord
+import umberslip.records.HostsRecord
 import umberslip.records.End
 import umberslip.records.EndRecord
 import umberslip.records.JobId
@@ -116,7 +116,7 @@
             }
             for ((number, record) in chunks) {
                 job.load(number, record)
-                for (p in record.value.placed) placed(job, p, silentUntil)
+                for (p in record.value.placed) placed(job, p, now, silentUntil)
             }
         }
         records.condemned?.let {
@@ -134,7 +134,7 @@
                     if ((records.chunks()[id]?.get(chunk.number)?.value?.seq ?: 0L) >= record.value.seq) continue
                     // Later entries win: a task goes elsewhere only after it was certainly gone.
                     job.assigned[p.index]?.let(::detach)
-                    if (!job.done.get(p.index)) placed(job, p, silentUntil)
+                    if (!job.done.get(p.index)) placed(job, p, now, silentUntil)
                     chunk.lastAttempt = maxOf(chunk.lastAttempt, p.attempt)
                     named += chunk
                 }
@@ -146,8 +146,11 @@
         }
     }
 
-    private fun placed(job: RunningJob, p: Placement, silentUntil: Duration) {
-        val machine = machines.getOrPut(p.host) { Machine(p.host, "", "", false).also { it.leaseEnd = silentUntil } }
+    private fun placed(job: RunningJob, p: Placement, now: Duration, silentUntil: Duration) {
+        val machine = machines.getOrPut(p.host) { Machine(p.host, "", "", false).also {
+            it.leaseEnd = silentUntil
+            it.loadedAt = now
+        } }
         val a = Assignment(job, p.index, p.attempt, p.host, machine.zone)
         a.recorded = true
         attach(a, machine)
@@ -175,6 +178,10 @@
         team.add(job)
     }
 
+    fun relayed(hosts: Set<HostName>, now: Duration) {
+        for (host in hosts) machines[host]?.relayedAt = now
+    }
+
     fun jobGone(id: JobId) {
         jobs[id]?.let { remove(it) }
     }
@@ -497,18 +504,18 @@
         }
         val condemnedAt = machine.condemnedAt
         if (condemnedAt == null) {
-            // A zone that is silent as a whole is cut off rather than dead, and works on inside.
+            if (machine.silence(now) < settings.workers.lease) return
+            // A zone that is silent as a whole is cut off rather than dead, and works on inside. Of
+            // machines not heard since the takeover the zone is not known; several are taken for one.
             val zone = machines.values.filter { it.zone == machine.zone }
-            val cut = machine.zone.isNotEmpty() && zone.size > 1 && zone.all { silence(it, now) > settings.workers.lease / 2 }
-            if (!cut || silence(machine, now) > CUT_PATIENCE) toCondemn += machine.name
+            val cut = zone.size > 1 && zone.all { it.silence(now) > settings.workers.lease / 2 }
+            if (!cut || machine.silence(now) > CUT_PATIENCE) toCondemn += machine.name
         } else if (now >= condemnedAt + timings.stretched(timings.lease) + timings.margin) {
             log.warn("machine {} is silent and its leases have run out: {} tasks wait again", machine.name.value, machine.assignments.size)
             forget(machine, now)
         }
     }
 
-    private fun silence(machine: Machine, now: Duration): Duration = machine.lastHeard?.let { now - it } ?: Duration.INFINITE
-
     /** Nothing is on the machine any more. */
     private fun forget(machine: Machine, now: Duration) {
         machine.assignments.values.toList().forEach { release(it, now) }
@@ -627,7 +634,7 @@
         toCondemn.retainAll(machines.keys)
         if (toCondemn != condemned) {
             condemn = toCondemn.toSet()
-            writes += Write.Put(Keys.CONDEMNED, CondemnedRecord(condemn).toMap())
+            writes += Write.Put(Keys.CONDEMNED, HostsRecord(condemn).toMap())
             guards += Guard(Keys.CONDEMNED, condemnedStamp)
         }
 
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -145,6 +145,7 @@
             when (event) {
                 is RecordEvent.JobChanged -> board.jobChanged(event.id, event.job, now)
                 is RecordEvent.JobGone -> board.jobGone(event.id)
+                is RecordEvent.Relayed -> board.relayed(event.hosts, now)
                 is RecordEvent.OwnerChanged -> Unit
             }
         }
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -259,7 +259,7 @@
         )
         val empty = view.machines.filter { it.tasks == 0 && (it.sick || unneededFor(it, if (it.offer.spot) tuning.idle else tuning.idle / 4)) }.map { it.name }
         if (empty.isNotEmpty()) takeAway(empty, evenIfBusy = false)
-        val silent = silent(view, now)
+        val silent = silent(view)
         if (silent.isNotEmpty()) takeAway(silent, evenIfBusy = true)
     }
 
@@ -274,16 +274,16 @@
      * has run out, which after a takeover is much later. A zone that is cut off as a whole may go on
      * working, so its machines are left alone until their leases are over.
      */
-    private fun silent(view: FleetView, now: Duration): List<HostName> {
+    private fun silent(view: FleetView): List<HostName> {
         val patience = settings.workers.lease * SILENT_SHARE
-        fun silence(m: MachineView): Duration = m.silentFor ?: (now - tookOverAt)
+        fun silence(m: MachineView): Duration = m.unheardFor
         val heard = view.machines.groupBy { it.offer.zone }.mapValues { (_, all) -> all.count { silence(it) < settings.workers.report * 3 } * 2 > all.size }
         // A machine that only the records name has no zone here; most of all machines must be heard.
         val most = view.machines.count { silence(it) < settings.workers.report * 3 } * 2 > view.machines.size
         val silentZones = view.machines.groupBy { it.offer.zone }.filterValues { all -> all.all { silence(it) > settings.workers.lease } }.keys
         return view.machines.filter { m ->
             // The machines of a zone that is silent as a whole come back, empty, when the cut ends.
-            (m.leaseOver && m.silentFor != null && (m.offer.zone !in silentZones || silence(m) > CUT_PATIENCE)) ||
+            (m.leaseOver && m.silentFor != null && silence(m) > patience && (m.offer.zone !in silentZones || silence(m) > CUT_PATIENCE)) ||
                 (m.tasks > 0 && silence(m) > patience && most && (m.offer.zone.isEmpty() || heard[m.offer.zone] == true))
         }.map { it.name }
     }
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -38,6 +38,8 @@
     val running: List<Work>,
     val idleFor: Duration,
     val silentFor: Duration?,
+    /** As [silentFor], with what other controllers heard. */
+    val unheardFor: Duration,
     val leaseOver: Boolean,
     val runningCpus: Double,
     val fetchingCpus: Double,
@@ -78,6 +80,7 @@
             },
             m.idleSince?.let { now - it } ?: Duration.ZERO,
             m.lastHeard?.let { now - it },
+            m.silence(now),
             m.leaseEnd <= now,
             m.assignments.values.sumOf { if (it.status == PieceStatus.RUNNING) it.room.cpus else 0.0 },
             m.assignments.values.sumOf { if (it.status == PieceStatus.FETCHING) it.room.cpus else 0.0 },
--- a/src/main/kotlin/umberslip/records/Records.kt
+++ b/src/main/kotlin/umberslip/records/Records.kt
@@ -28,13 +28,17 @@
     private const val JOB = "u/job/"
     private const val CHUNK = "u/run/"
     private const val STARTS = "u/log/"
+    private const val RELAYED = "u/relayed/"
     private const val END = "end/"
 
     fun job(id: JobId): String = JOB + id.value
     fun chunk(id: JobId, chunk: Int): String = "$CHUNK${id.value}/$chunk"
     fun starts(slot: Int): String = STARTS + slot
+    fun relayed(member: String): String = RELAYED + member
     fun end(id: JobId): String = END + id.value
 
+    fun isRelayed(key: String): Boolean = key.startsWith(RELAYED)
+
     fun asStarts(key: String): Int? = if (key.startsWith(STARTS)) key.substring(STARTS.length).toIntOrNull() else null
 
     fun asJob(key: String): JobId? = if (key.startsWith(JOB)) JobId.parse(key.substring(JOB.length)) else null
@@ -164,13 +168,13 @@
     }
 }
 
-/** Machines whose leases only the owner itself may still renew. */
-data class CondemnedRecord(val hosts: Set<HostName>) {
+/** A set of machines: those whose leases only the owner may still renew, or those that were relayed. */
+data class HostsRecord(val hosts: Set<HostName>) {
     fun toMap(): Map<String, Any?> = mapOf("hosts" to hosts.map { it.value })
 
     companion object {
-        fun parse(data: Any?): CondemnedRecord =
-            CondemnedRecord((Fields.of(data).textsOrNull("hosts") ?: emptyList()).mapTo(HashSet(), ::HostName))
+        fun parse(data: Any?): HostsRecord =
+            HostsRecord((Fields.of(data).textsOrNull("hosts") ?: emptyList()).mapTo(HashSet(), ::HostName))
     }
 }
 
--- a/src/main/kotlin/umberslip/records/Replica.kt
+++ b/src/main/kotlin/umberslip/records/Replica.kt
@@ -1,6 +1,7 @@
 package umberslip.records
 
 import org.slf4j.LoggerFactory
+import umberslip.cloud.HostName
 import umberslip.http.Fields
 import umberslip.http.Malformed
 import umberslip.state.Change
@@ -13,6 +14,8 @@
 
     /** The job's record is gone: it ended, and how is told by its end's record. */
     data class JobGone(val id: JobId) : RecordEvent
+    /** Another controller answered reports of these machines lately. */
+    data class Relayed(val hosts: Set<HostName>) : RecordEvent
     data class OwnerChanged(val owner: Stamped<OwnerRecord>?) : RecordEvent
 }
 
@@ -21,7 +24,7 @@
     val owner: Stamped<OwnerRecord>?
     val term: Stamped<Term>?
     val fleet: Any?
-    val condemned: Stamped<CondemnedRecord>?
+    val condemned: Stamped<HostsRecord>?
 
     fun job(id: JobId): Stamped<JobRecord>?
     fun jobs(): Map<JobId, Stamped<JobRecord>>
@@ -48,7 +51,7 @@
         private set
     override var fleet: Any? = null
         private set
-    override var condemned: Stamped<CondemnedRecord>? = null
+    override var condemned: Stamped<HostsRecord>? = null
         private set
 
     override fun job(id: JobId): Stamped<JobRecord>? = jobs[id]
@@ -124,9 +127,10 @@
                 null
             }
             entry.key == Keys.CONDEMNED -> {
-                if ((condemned?.stamp?.value ?: 0L) < entry.stamp.value) condemned = Stamped(CondemnedRecord.parse(entry.data), entry.stamp)
+                if ((condemned?.stamp?.value ?: 0L) < entry.stamp.value) condemned = Stamped(HostsRecord.parse(entry.data), entry.stamp)
                 null
             }
+            Keys.isRelayed(entry.key) -> RecordEvent.Relayed(HostsRecord.parse(entry.data).hosts)
             entry.key == Keys.FLEET -> {
                 fleet = entry.data
                 null
--- a/src/test/kotlin/umberslip/agents/RelayTest.kt
+++ b/src/test/kotlin/umberslip/agents/RelayTest.kt
@@ -8,7 +8,7 @@
 import umberslip.http.Documents
 import umberslip.http.Fields
 import umberslip.http.Malformed
-import umberslip.records.CondemnedRecord
+import umberslip.records.HostsRecord
 import umberslip.records.JobRecord
 import umberslip.records.Keys
 import umberslip.records.OwnerRecord
@@ -44,9 +44,9 @@
         assertNull(answer(warrant = 5), "the worker has seen a higher term")
         put(Keys.job(spec.id), JobRecord(spec, Instant.EPOCH, true).toMap(), 3)
         assertEquals(4L to listOf(Order.Stop(running.task, 7, 0.0)), answer(), "a cancellation bites here too")
-        put(Keys.CONDEMNED, CondemnedRecord(setOf(HostName("m"))).toMap(), 4)
+        put(Keys.CONDEMNED, HostsRecord(setOf(HostName("m"))).toMap(), 4)
         assertNull(answer())
-        put(Keys.CONDEMNED, CondemnedRecord(emptySet()).toMap(), 5)
+        put(Keys.CONDEMNED, HostsRecord(emptySet()).toMap(), 5)
         assertEquals(4L, answer()?.first)
     }
 
