--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -85,7 +85,6 @@
 
     /** Images that tasks here have been started with, the latest last. */
     val images = LinkedHashSet<String>()
-    var idleSince: Duration? = null
 
     val usable: Boolean get() = proven && !closing && !releasing && !sick && takenAt == null
 
--- a/src/main/kotlin/umberslip/agents/Reports.kt
+++ b/src/main/kotlin/umberslip/agents/Reports.kt
@@ -28,7 +28,6 @@
 /** What a worker says of its machine. */
 data class Report(
     val host: HostName,
-    val endpoint: String,
     val type: String,
     val zone: String,
     val spot: Boolean,
@@ -41,7 +40,6 @@
     companion object {
         fun parse(f: Fields): Report = Report(
             HostName(f.text("host").ifEmpty { throw Malformed("host is empty") }),
-            f.textOrNull("endpoint") ?: "",
             f.text("hosttype"),
             f.text("hall"),
             f.flagOrNull("reclaimable") ?: false,
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -462,8 +462,6 @@
     fun tick(now: Duration) {
         for (machine in machines.values.toList()) {
             if (machine.leaseEnd <= now) leaseOver(machine, now)
-            val idle = machine.assignments.isEmpty()
-            if (!idle) machine.idleSince = null else if (machine.idleSince == null) machine.idleSince = now
             drain(machine, now)
             judge(machine)
         }
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -36,7 +36,6 @@
     val takenIn: Duration?,
     val tasks: Int,
     val running: List<Work>,
-    val idleFor: Duration,
     val silentFor: Duration?,
     /** As [silentFor], with what other controllers heard. */
     val unheardFor: Duration,
@@ -78,7 +77,6 @@
                 val left = if (a.job.spec.shape == Shape.DAEMON) LONG else (a.job.expected() - ran).coerceAtLeast(SOON)
                 Work(where(a.job.spec), a.room, 1, left)
             },
-            m.idleSince?.let { now - it } ?: Duration.ZERO,
             m.lastHeard?.let { now - it },
             m.silence(now),
             m.leaseEnd <= now,
--- a/src/main/kotlin/umberslip/state/StateService.kt
+++ b/src/main/kotlin/umberslip/state/StateService.kt
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.coroutines.delay
 import umberslip.actor.Clock
-import umberslip.http.Fields
 import umberslip.http.HttpClient
 import umberslip.http.Malformed
 import umberslip.http.NoAnswer
--- a/src/test/kotlin/umberslip/agents/RelayTest.kt
+++ b/src/test/kotlin/umberslip/agents/RelayTest.kt
@@ -32,7 +32,7 @@
     }
 
     private fun answer(warrant: Long = 4) =
-        Relay.answer(Report(HostName("m"), "", "small", "east", false, 1, 1, Term(warrant), null, listOf(running)), replica)
+        Relay.answer(Report(HostName("m"), "small", "east", false, 1, 1, Term(warrant), null, listOf(running)), replica)
 
     @Test
     fun `a report is answered with the owner's term while the records allow it`() {
--- a/src/test/kotlin/umberslip/dispatch/TestBoard.kt
+++ b/src/test/kotlin/umberslip/dispatch/TestBoard.kt
@@ -61,7 +61,7 @@
         val name = HostName(host)
         val next = counter ?: ((counters[name] ?: 0) + 1)
         counters[name] = next
-        return board.report(Report(name, "", type, zone, spot, shift, next, warrant, warning, pieces.toList()), now)
+        return board.report(Report(name, type, zone, spot, shift, next, warrant, warning, pieces.toList()), now)
             .also { if (it == Verdict.ANSWER) board.answered(name, now) }
     }
 
--- a/src/test/kotlin/umberslip/fleet/FleetPlannerTest.kt
+++ b/src/test/kotlin/umberslip/fleet/FleetPlannerTest.kt
@@ -18,7 +18,7 @@
     private val any = Where(null, null, true)
 
     private fun machine(name: String, offer: Offer, running: List<Work> = emptyList()) = MachineView(
-        HostName(name), offer, flavors[offer.type]?.let(Room::of), true, false, false, null, running.size, running, 0.seconds, 0.seconds, 0.seconds, false, 0.0, 0.0,
+        HostName(name), offer, flavors[offer.type]?.let(Room::of), true, false, false, null, running.size, running, 0.seconds, 0.seconds, false, 0.0, 0.0,
     )
 
     private fun plan(machines: List<MachineView>, waiting: List<Work>, shut: (Offer) -> Boolean = { false }) =
