A task that is done is not placed again

Cause: a done task was released before it was marked done, so it went back among the waiting and was placed once more until its job ended. Workers end such a start at once with done, so no rule broke, but slots and writes were lost and observed run times came out short. Excluded: the log of starts, which held what was placed.

--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -277,11 +277,12 @@
     private fun ended(machine: Machine, a: Assignment, cause: Cause, now: Duration) {
         val job = a.job
         val chunk = job.chunk(a.index)
+        // Before it is released: what is not done then waits to be placed again.
+        if (cause == Cause.DONE) job.done.set(a.index)
         release(a, now)
         machine.awaitingClear[a.id to a.attempt] = chunk.version.let { version -> AwaitingClear { chunk.written >= version } }
         when (cause) {
             Cause.DONE -> {
-                job.done.set(a.index)
                 job.failedOn.clear()
                 machine.failures.clear()
                 a.runningSince?.let { since ->
--- a/src/test/kotlin/umberslip/dispatch/BoardTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/BoardTest.kt
@@ -177,6 +177,18 @@
         assertTrue((orders.last() as Order.Start).attempt > first.attempt)
     }
 
+    @Test
+    fun `a task that is done is not placed again`() {
+        val job = t.job { it.copy(pieces = 6) }
+        startAll(job)
+        val first = placed(job).first()
+        t.report("m", *placed(job).map { if (it === first) ended(it, Cause.DONE) else running(it) }.toTypedArray())
+        t.deal("m")
+        assertTrue(job.done.get(first.index))
+        assertFalse(job.assigned.containsKey(first.index))
+        assertEquals(job.spec.pieces, job.done.cardinality() + job.assigned.size + job.waiting)
+    }
+
     @Test
     fun `a job's end is written with its result and only then forgotten`() {
         val job = t.job()
