One place for what a task has left and whether it may move

The remaining time was worked out in three places and the conditions for moving a saving task in two (moving on, preemption).

--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -8,7 +8,6 @@
 import umberslip.records.Shape
 import umberslip.records.TaskId
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** What an amount of work takes of a machine, or a machine offers. */
 data class Room(val cpus: Double, val gpus: Double, val memoryGb: Double) {
@@ -95,8 +94,7 @@
     fun staysFor(now: Duration): Duration {
         if (!proven || !closing || releasing || sick || takenAt != null) return Duration.ZERO
         val left = assignments.values.maxOfOrNull { a ->
-            val since = a.runningSince
-            if (since == null || a.windDown != null || a.job.spec.shape != Shape.ARRAY) Duration.ZERO else a.job.expected().seconds - (now - since)
+            if (a.windDown != null || a.job.spec.shape != Shape.ARRAY) Duration.ZERO else a.left(now) ?: Duration.ZERO
         }
         return left ?: Duration.ZERO
     }
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -540,10 +540,8 @@
     fun moveOn(machine: Machine, now: Duration) {
         for (a in machine.assignments.values) {
             val spec = a.job.spec
-            val since = a.runningSince ?: continue
-            if (a.windDown != null || spec.checkpointSeconds <= 0 || spec.shape != Shape.ARRAY || a.status != PieceStatus.RUNNING) continue
-            val left = a.job.expected().seconds - (now - since)
-            if (now - since < SETTLED || left < spec.savingSeconds.seconds * 2 + WORTH_MOVING) continue
+            val left = a.left(now) ?: continue
+            if (!a.mayMove(now, SETTLED) || left < spec.savingSeconds.seconds * 2 + WORTH_MOVING) continue
             val moving = machines.values.sumOf { m -> m.assignments.values.count { it.windDown != null } }
             val room = machines.values.filter { it.usable && Dispatcher.allowed(a.job, it) }.sumOf { it.free()?.times(a.room) ?: 0 }
             if (room > moving) stop(a, spec.savingSeconds.seconds)
@@ -575,10 +573,9 @@
             need -= covered
             if (need <= 0) continue
             val victims = machinesUp.filter { Dispatcher.allowed(job, it) }.flatMap { it.assignments.values }.filter { a ->
-                val since = a.runningSince
+                val left = a.left(now)
                 val other = teams[a.job.spec.team]
-                a.windDown == null && a.status == PieceStatus.RUNNING && a.job.spec.checkpointSeconds > 0 && a.job.spec.shape == Shape.ARRAY &&
-                    since != null && now - since >= SETTLED && a.job.expected().seconds - (now - since) > WORTH_MOVING &&
+                left != null && a.mayMove(now, SETTLED) && left > WORTH_MOVING &&
                     (a.job.spec.urgency > job.spec.urgency || (owed && other != null && other !== team && other.usedCpus > other.team.cpus))
             }.sortedWith(compareBy({ -it.job.spec.urgency.ordinal }, { -it.job.due.inWholeMilliseconds }))
             for (a in victims) {
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -8,12 +8,14 @@
 import umberslip.records.JobSpec
 import umberslip.records.Keys
 import umberslip.records.Placement
+import umberslip.records.Shape
 import umberslip.records.Stamped
 import umberslip.records.TaskId
 import umberslip.state.Stamp
 import java.util.BitSet
 import java.util.TreeSet
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** A task that is, or may be, on a machine. */
 class Assignment(val job: RunningJob, val index: Int, var attempt: Long, val host: HostName, val zone: String) {
@@ -28,6 +30,16 @@
     var status: PieceStatus? = null
     var runningSince: Duration? = null
 
+    /** What it should still need, by its job's expected run time; null until it runs. */
+    fun left(now: Duration): Duration? = runningSince?.let { job.expected().seconds - (now - it) }
+
+    /** It runs, saves when stopped, and began at least [settled] ago, so it can go on elsewhere at little loss. */
+    fun mayMove(now: Duration, settled: Duration): Boolean {
+        val since = runningSince ?: return false
+        return windDown == null && status == PieceStatus.RUNNING && job.spec.checkpointSeconds > 0 && job.spec.shape == Shape.ARRAY &&
+            now - since >= settled
+    }
+
     /** Set once it shall stop; the worker then has this long to save. */
     var windDown: Duration? = null
 }
