Work per report, question and plan no longer grows with the fleet's tasks

Cause, by profiles of the controllers' code under 490 simulated machines: every question about a job looked at all 256 log entries, every flush at all chunks that they name, preemption sorted all tasks twice a second, the planner made an object per task, and full machines' reports looked at every waiting job. Excluded: the reading of reports and the writing of answers are a small part. Now the log is indexed by job, written chunks are looked at once, preemption orders jobs, plans come less often when they take long, and what no waiting task fits into is passed over at once.

--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -264,19 +264,21 @@
 
     private fun reconcile(machine: Machine, report: Report, newShift: Boolean, now: Duration) {
         val pieces = HashMap<TaskId, Piece>(report.pieces.size * 2)
+        for (a in machine.assignments.values) a.seen = false
         for (piece in report.pieces) {
             pieces[piece.task] = piece
             val a = machine.assignments[piece.task]
             if (a == null || a.attempt != piece.attempt || a.reserved) continue
+            a.seen = true
             a.status = piece.status
             if (piece.status == PieceStatus.RUNNING && a.runningSince == null) a.runningSince = now
             if (piece.status == PieceStatus.ENDED) ended(machine, a, piece.cause ?: Cause.ERROR, now)
         }
         machine.reported = pieces
-        machine.awaitingClear.entries.removeIf { (task, ending) -> pieces[task]?.attempt != ending.attempt }
+        if (machine.awaitingClear.isNotEmpty()) machine.awaitingClear.entries.removeIf { (task, ending) -> pieces[task]?.attempt != ending.attempt }
         var absent: ArrayList<Assignment>? = null
         for (a in machine.assignments.values) {
-            if (a.recorded && !a.reserved && pieces[a.id]?.attempt != a.attempt) absent = (absent ?: ArrayList()).also { it += a }
+            if (a.recorded && !a.reserved && !a.seen) absent = (absent ?: ArrayList()).also { it += a }
         }
         for (a in absent.orEmpty()) {
             // Proven absent: a reply that would have started it is dropped, since the worker has gone
@@ -295,11 +297,7 @@
             Cause.DONE -> {
                 job.failedOn.clear()
                 machine.failures.clear()
-                a.runningSince?.let { since ->
-                    val took = (now - since).inWholeMilliseconds / 1000.0
-                    val before = job.observedSeconds
-                    job.observedSeconds = if (before == null) took else before * 0.7 + took * 0.3
-                }
+                a.runningSince?.let { job.observed(now - it) }
             }
             Cause.ERROR -> failed(machine, job, now)
             Cause.FULL, Cause.BUSY -> machine.noRoomUntil = now + 2.seconds
@@ -457,7 +455,7 @@
             for (a in machine.assignments.values) {
                 if (orders.size >= MAX_ORDERS) break
                 if (!a.recorded || a.job.cancelled || a.windDown != null) continue
-                if (machine.reported[a.id]?.attempt == a.attempt || a.id in uncleared) continue
+                if (a.seen || a.id in uncleared) continue
                 orders += Order.Start(a.id, a.attempt)
             }
         }
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -29,12 +29,15 @@
     /** Without a guarantee a team still has a share: that of the smallest unit. */
     val weight: Double = team.cpus.coerceAtLeast(1.0)
 
+    /** No waiting task takes less of anything; null until asked for again. */
+    private var least: Room? = null
+
     fun refresh(job: RunningJob) {
-        if (job.waiting > 0) queue.add(job) else queue.remove(job)
+        if (if (job.waiting > 0) queue.add(job) else queue.remove(job)) least = null
     }
 
     fun remove(job: RunningJob) {
-        queue.remove(job)
+        if (queue.remove(job)) least = null
     }
 
     /** As time passes, targets move out of reach. */
@@ -77,14 +80,18 @@
     }
 
     /** The first job, in order, that has a task for this machine's free room. */
-    fun pick(machine: Machine, free: Room, now: Duration, within: Duration = Duration.INFINITE): RunningJob? =
-        queue.firstOrNull { mayPlace(it, machine, free, now, within) }
+    fun pick(machine: Machine, free: Room, now: Duration, within: Duration = Duration.INFINITE): RunningJob? {
+        if (queue.isEmpty()) return null
+        // Most reports come from machines that are full; they are not to cost a look at every job that waits.
+        val least = least ?: Room(queue.minOf { it.room.cpus }, queue.minOf { it.room.gpus }, queue.minOf { it.room.memoryGb }).also { least = it }
+        return if (free.covers(least)) queue.firstOrNull { mayPlace(it, machine, free, now, within) } else null
+    }
 
     /** Whether a task of this job may be placed on that machine now; [within] is how long the machine stays. */
     fun mayPlace(job: RunningJob, machine: Machine, free: Room, now: Duration, within: Duration): Boolean {
         if (machine.keptFor.let { it != null && it !== job }) return false
         if (job.notBefore > now || !free.covers(job.room)) return false
-        if (within.isFinite() && (job.expected().seconds > within || job.spec.image !in machine.images)) return false
+        if (within.isFinite() && (job.expectedTime > within || job.spec.image !in machine.images)) return false
         if (job.spec.shape == Shape.GANG && !mayGather(job, now)) return false
         if (!allowed(job, machine) || !withinLimit(job.room) || job.peek() == null) return false
         // A fetch takes longer than the next machine that has the image takes to find room.
--- a/src/main/kotlin/umberslip/dispatch/Ledger.kt
+++ b/src/main/kotlin/umberslip/dispatch/Ledger.kt
@@ -42,8 +42,19 @@
 private class LogSlot(val number: Int) {
     val key = Keys.log(number)
     var stamp = Stamp.NONE
-    var chunks: List<Pair<Chunk, Long>> = emptyList()
-    val free: Boolean get() = chunks.all { (chunk, version) -> chunk.written >= version }
+    private val open = ArrayList<Pair<Chunk, Long>>()
+
+    fun names(chunks: List<Pair<Chunk, Long>>) {
+        open.clear()
+        open += chunks
+    }
+
+    /** Asked for every slot whenever there is something to log; what is written stays so, and is not looked at again. */
+    val free: Boolean
+        get() {
+            while (open.isNotEmpty() && open.last().let { (chunk, version) -> chunk.written >= version }) open.removeAt(open.lastIndex)
+            return open.isEmpty()
+        }
 }
 
 /** Writes of one transaction, and what they stand for. */
@@ -103,10 +114,6 @@
         return ending
     }
 
-    fun forget(a: Assignment) {
-        starts -= a
-    }
-
     /** Whether a job is over may have changed. */
     fun over(job: RunningJob) {
         if (job.over) over += job else over -= job
@@ -138,7 +145,7 @@
         named.forEach { touch(it, now) }
         val slot = slots.getOrNull(number) ?: return
         slot.stamp = stamp
-        slot.chunks = named.map { it to it.version }
+        slot.names(named.map { it to it.version })
     }
 
     fun load(record: Stamped<HostsRecord>, known: Set<HostName>) {
@@ -204,11 +211,12 @@
 
         /** Starts wait for their record; ends come along, or go alone after a while. False where slots ran out. */
         private fun log(): Boolean {
-            val free = slots.filter { it.free }.iterator()
+            val due = starts.isNotEmpty() || (ends.firstOrNull { !it.job.over }?.let { now - it.since >= END_WAITS } ?: false)
+            if (!due) return true
+            val free = slots.asSequence().filter { it.free }.iterator()
             val openStarts = ArrayDeque(starts)
             val openEnds = ArrayDeque(ends.filter { !it.job.over })
-            val due = openStarts.isNotEmpty() || (openEnds.firstOrNull()?.let { now - it.since >= END_WAITS } ?: false)
-            while (due && (openStarts.isNotEmpty() || openEnds.isNotEmpty())) {
+            while (openStarts.isNotEmpty() || openEnds.isNotEmpty()) {
                 if (!free.hasNext()) return false
                 if (writes.size >= maxOps || size + limits.valueBytes > MAX_TXN_BYTES) break
                 write(free.next(), openStarts, openEnds)
@@ -282,7 +290,7 @@
         }
         for ((number, named) in batch.logged) {
             slots[number].stamp = stamp
-            slots[number].chunks = named
+            slots[number].names(named)
         }
         for (e in batch.ends) {
             e.logged = true
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -43,8 +43,8 @@
     data object Tick : OwnerMessage
     data object Flush : OwnerMessage
 
-    /** From the fleet: asks for what it plans from. */
-    class View(val answer: (FleetView?) -> Unit) : OwnerMessage
+    /** From the fleet: asks for what it plans from; answered with how long that took, too. */
+    class View(val answer: (FleetView?, Duration) -> Unit) : OwnerMessage
 
     /** From the fleet: [hosts] get nothing new, all others may; from [emptied] what can be saved moves on. */
     class Close(val hosts: Set<HostName>, val emptied: Set<HostName>) : OwnerMessage
@@ -112,7 +112,10 @@
             is OwnerMessage.Deal -> dealOn(message, now)
             OwnerMessage.Tick -> tick(now)
             OwnerMessage.Flush -> flush(now)
-            is OwnerMessage.View -> message.answer(board?.let { FleetView.of(it, now) })
+            is OwnerMessage.View -> {
+                val view = board?.let { FleetView.of(it, now) }
+                message.answer(view, clock.now() - now)
+            }
             is OwnerMessage.Close -> board?.let { board ->
                 board.machines.values.forEach { it.closing = it.name in message.hosts }
                 upkeep?.moveOn(board.machines.values.filter { it.name in message.emptied }, now)
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -29,10 +29,13 @@
     /** The start is in the state service, in the log or in its chunk, so it may be told to the worker. */
     var recorded = false
     var status: PieceStatus? = null
+
+    /** The newest report of its machine shows it. */
+    var seen = false
     var runningSince: Duration? = null
 
     /** What it should still need, by its job's expected run time; null until it runs. */
-    fun left(now: Duration): Duration? = runningSince?.let { job.expected().seconds - (now - it) }
+    fun left(now: Duration): Duration? = runningSince?.let { job.expectedTime - (now - it) }
 
     /** It runs, saves when stopped, and began at least [settled] ago, so it can go on elsewhere at little loss. */
     fun mayMove(now: Duration, settled: Duration): Boolean {
@@ -97,7 +100,20 @@
     var waitingSince: Duration = Duration.ZERO
 
     /** Own observation of a task's run time, once there is one. */
-    var observedSeconds: Double? = null
+    private var observedSeconds: Double? = null
+
+    /** The expected run time of a task: what was seen, else what the owner thinks. */
+    val expected: Double get() = observedSeconds ?: spec.expectedSeconds.coerceAtLeast(1.0)
+
+    /** [expected] as a time; kept, since it is asked for with every task that is looked at. */
+    var expectedTime: Duration = expected.seconds
+        private set
+
+    fun observed(took: Duration) {
+        val seconds = took.inWholeMilliseconds / 1000.0
+        observedSeconds = observedSeconds?.let { it * 0.7 + seconds * 0.3 } ?: seconds
+        expectedTime = expected.seconds
+    }
 
     /** How long a gang may gather slots; doubles whenever it had to give them back. */
     var gatherBound: Duration = Duration.ZERO
@@ -150,10 +166,7 @@
     }
 
     /** Work that is late for one target makes way for what can still be in time, but for the next one it counts again. */
-    fun reachableAt(now: Duration): Duration = targets.firstOrNull { now + expected().seconds <= it } ?: (targets.last() + LATE)
-
-    /** The expected run time of a task: what was seen, else what the owner thinks. */
-    fun expected(): Double = observedSeconds ?: spec.expectedSeconds.coerceAtLeast(1.0)
+    fun reachableAt(now: Duration): Duration = targets.firstOrNull { now + expectedTime <= it } ?: (targets.last() + LATE)
 
     private companion object {
         val LATE = 1.hours
--- a/src/main/kotlin/umberslip/dispatch/Upkeep.kt
+++ b/src/main/kotlin/umberslip/dispatch/Upkeep.kt
@@ -38,8 +38,9 @@
      * owner that cannot be reached, since neither a cut zone nor a wave of losses takes all at once.
      */
     fun isUnheard(now: Duration): Boolean {
-        val known = board.machines.values.filter { it.lastHeard != null }
-        val unheard = known.size >= FEW && known.count { m -> m.lastHeard.let { it != null && now - it < settings.workers.report * 3 } } * 10 < known.size
+        val lately = now - settings.workers.report * 3
+        val known = board.machines.values.count { it.lastHeard != null }
+        val unheard = known >= FEW && board.machines.values.count { m -> m.lastHeard.let { it != null && it > lately } } * 10 < known
         val since = if (unheard) unheardSince ?: now else null
         unheardSince = since
         return since != null && now - since >= SURE
@@ -129,30 +130,25 @@
      * since others would lose their work; and none that began a short while ago.
      */
     private fun preempt(now: Duration) {
-        val up = board.machines.values.filter { it.usable }
-        val movable = ArrayList<Pair<Assignment, Machine>>()
-        // What is being stopped already makes room for the first in need.
-        var coming = 0.0
-        for (m in up) for (a in m.assignments.values) {
-            if (a.windDown != null) coming += a.room.cpus
-            val left = a.left(now)
-            if (left != null && left > WORTH_MOVING && a.mayMove(now, SETTLED)) movable += a to m
-        }
-        if (movable.isEmpty()) return
-        movable.sortWith(compareBy({ (a, _) -> -a.job.spec.urgency.ordinal }, { (a, _) -> -a.job.due.inWholeMilliseconds }))
         val needy = board.teams.values.flatMap { team -> team.waiting.filter { it.notBefore <= now && now - it.waitingSince > PATIENCE }.map { team to it } }
             .filter { (_, job) -> job.spec.shape == Shape.ARRAY }
             .sortedWith(compareBy({ (team, job) -> !team.withinGuarantee(job.room) }, { (_, job) -> job.spec.urgency }, { (_, job) -> job.due }))
+        if (needy.isEmpty()) return
+        // The order of giving way is one of jobs, so their many tasks need not be sorted.
+        val saving = board.jobs.values.filter { it.spec.checkpointSeconds > 0 && it.spec.shape == Shape.ARRAY && it.assigned.isNotEmpty() }
+            .sortedWith(compareBy({ -it.spec.urgency.ordinal }, { -it.due.inWholeMilliseconds }))
+        // What is being stopped already makes room for the first in need.
+        var coming = saving.sumOf { job -> job.assigned.values.sumOf { if (it.windDown != null) it.room.cpus else 0.0 } }
+        val up = board.machines.values.filter { it.usable }
         // The rest have their turn when these are placed.
         for ((team, job) in needy.take(MAX_NEEDY)) {
             if (!team.withinLimit(job.room)) continue
             val owed = team.withinGuarantee(job.room)
-            fun mayGo(a: Assignment): Boolean {
-                val other = board.teams[a.job.spec.team]
-                return a.windDown == null && (a.job.spec.urgency > job.spec.urgency || (owed && other != null && other !== team && other.usedCpus > other.team.cpus))
+            fun mayGo(other: RunningJob): Boolean {
+                val its = board.teams[other.spec.team]
+                return other.spec.urgency > job.spec.urgency || (owed && its != null && its !== team && its.usedCpus > its.team.cpus)
             }
-            val victims = movable.filter { (a, m) -> mayGo(a) && Dispatcher.allowed(job, m) }
-            if (victims.isEmpty()) continue
+            if (saving.none(::mayGo)) continue
             var need = job.waiting * job.room.cpus
             team.team.cpusMax?.let { need = minOf(need, it - team.usedCpus) }
             if (owed && job.spec.urgency == Urgency.IDLE) need = minOf(need, team.team.cpus - team.usedCpus)
@@ -160,10 +156,18 @@
             val covered = minOf(coming, need.coerceAtLeast(0.0))
             coming -= covered
             need -= covered
-            for ((a, _) in victims) {
+            for (other in saving) {
                 if (need <= 0) break
-                board.stop(a, a.job.spec.savingSeconds.seconds)
-                need -= a.room.cpus
+                if (!mayGo(other)) continue
+                for (a in other.assigned.values) {
+                    if (need <= 0) break
+                    val left = a.left(now) ?: continue
+                    if (left <= WORTH_MOVING || !a.mayMove(now, SETTLED)) continue
+                    val machine = board.machines[a.host]?.takeIf { it.usable && Dispatcher.allowed(job, it) } ?: continue
+                    board.stop(a, a.job.spec.savingSeconds.seconds)
+                    need -= a.room.cpus
+                    log.debug("{} gives way on {}", a.id, machine.name.value)
+                }
             }
         }
     }
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -69,8 +69,13 @@
     private var tookOverAt = Duration.ZERO
     private var settledAt = Duration.ZERO
 
+    /** How long this round's view and plan took. */
+    private var planning = Duration.ZERO
+
     fun start(): Job = scope.launch {
         while (true) {
+            val began = clock.now()
+            planning = Duration.ZERO
             try {
                 round()
                 if (failures > 0) log.info("the cloud serves again after {} failures", failures)
@@ -83,7 +88,9 @@
                 log.error("the cloud's answer cannot be read: {}", e.message)
                 delay(TROUBLE)
             }
-            delay(ROUND)
+            // A plan looks at every machine and task: in a large fleet it is made less often, so that
+            // reports and users have their turn.
+            delay(maxOf(ROUND, planning * PLAN_SHARE - (clock.now() - began)))
         }
     }
 
@@ -136,7 +143,9 @@
         if (now < settledAt) return
         giveUpBooting(view, now)
         if (booting.keys != noted && now - notedAt > NOTE_EVERY) note()
+        val planBegan = clock.now()
         val plan = planner.plan(view, booting.values.toList(), flavors) { (shut[it] ?: Duration.ZERO) > now }
+        planning += clock.now() - planBegan
         if (summaryAt + SUMMARY_EVERY <= now) {
             summaryAt = now
             summarize(view)
@@ -171,7 +180,11 @@
 
     private suspend fun view(): FleetView? {
         val answer = CompletableDeferred<FleetView?>()
-        if (!owner.tell(OwnerMessage.View { answer.complete(it) })) return null
+        val view = OwnerMessage.View { seen, took ->
+            planning += took
+            answer.complete(seen)
+        }
+        if (!owner.tell(view)) return null
         return answer.await()
     }
 
@@ -300,6 +313,9 @@
 
     private companion object {
         val ROUND = 700.milliseconds
+
+        /** Planning takes at most one part in so many of the time. */
+        const val PLAN_SHARE = 30
         val TROUBLE = 1.seconds
         val FLAVORS_EVERY = 60.seconds
         val CUT_PATIENCE = 120.seconds
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -13,6 +13,7 @@
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** Where tasks may run; tasks with the same answer are planned for together. */
 data class Where(val types: List<String>?, val zone: String?, val spot: Boolean) {
@@ -21,11 +22,14 @@
 }
 
 /**
- * Work that is to be placed or runs already: tasks alike in room and in the time they still need.
- * [slack] is how long it can wait for its start and still be done when it should.
+ * Work that is to be placed: tasks alike in room and in the time they need. [slack] is how long it can
+ * wait for its start and still be done when it should.
  */
 data class Work(val where: Where, val room: Room, val tasks: Int, val seconds: Double, val slack: Duration = Duration.ZERO)
 
+/** A task on a machine, and for how long it still needs its room. */
+class Run(val room: Room, val seconds: Double)
+
 data class MachineView(
     val name: HostName,
     val offer: Offer,
@@ -35,7 +39,7 @@
     val sick: Boolean,
     val takenIn: Duration?,
     val tasks: Int,
-    val running: List<Work>,
+    val running: List<Run>,
     val silentFor: Duration?,
     /** As [silentFor], with what other controllers heard. */
     val unheardFor: Duration,
@@ -59,8 +63,10 @@
                     val tasks = minOf(job.waiting, byLimit)
                     if (tasks <= 0) continue
                     cpus -= tasks * job.room.cpus
-                    val seconds = if (job.spec.shape == Shape.DAEMON) LONG else job.expected()
-                    val slack = job.targets.firstOrNull { it > now + seconds.seconds }?.let { it - now - seconds.seconds } ?: PATIENT
+                    val daemon = job.spec.shape == Shape.DAEMON
+                    val seconds = if (daemon) LONG else job.expected
+                    val time = if (daemon) LONG.seconds else job.expectedTime
+                    val slack = job.targets.firstOrNull { it > now + time }?.let { it - now - time } ?: PATIENT
                     // What the limit holds back follows in the same places, one after the other.
                     waiting += Work(where(job.spec), job.room, tasks, seconds * job.waiting / tasks, slack)
                 }
@@ -74,8 +80,8 @@
             m.name, Offer(m.type, m.zone, m.spot), m.capacity, m.usable, m.closing, m.sick, m.takenAt?.minus(now), m.assignments.size,
             m.assignments.values.map { a ->
                 val ran = a.runningSince?.let { (now - it).inWholeMilliseconds / 1000.0 } ?: 0.0
-                val left = if (a.job.spec.shape == Shape.DAEMON) LONG else (a.job.expected() - ran).coerceAtLeast(SOON)
-                Work(where(a.job.spec), a.room, 1, left)
+                val left = if (a.job.spec.shape == Shape.DAEMON) LONG else (a.job.expected - ran).coerceAtLeast(SOON)
+                Run(a.room, left)
             },
             m.lastHeard?.let { now - it },
             m.silence(now),
@@ -103,7 +109,11 @@
  * How many machines of which kind: enough to get the known work done within the drain time, filled
  * from the cheapest capacity up, whether that is rented already or only could be. Pure.
  */
-class FleetPlanner(private val tuning: Tuning) {
+class FleetPlanner(tuning: Tuning) {
+    // In seconds: a plan divides by them for every task that runs.
+    private val drain = tuning.drain.toDouble(DurationUnit.SECONDS)
+    private val boot = tuning.boot.toDouble(DurationUnit.SECONDS)
+
     private class Supply(val offer: Offer, val room: Room, val price: Double, val name: HostName?, val up: Boolean, var left: Double, var used: Boolean = false) {
         /** Waiting work was planned for it. */
         var claimed = false
@@ -117,8 +127,8 @@
         for (m in view.machines) {
             val room = m.capacity ?: continue
             if (m.sick || m.takenIn != null || m.silentFor == null || m.silentFor > SILENT) continue
-            running[m.name] = m.running.sumOf { need(it, room, tuning.drain) }
-            val need = m.running.sumOf { need(it, room, tuning.drain + tuning.boot) }
+            running[m.name] = m.running.sumOf { need(it.room, it.seconds, room, drain) }
+            val need = m.running.sumOf { need(it.room, it.seconds, room, drain + boot) }
             supply += Supply(m.offer, room, price(m.offer), m.name, true, (room.cpus - need).coerceAtLeast(0.0), need > 0)
         }
         for (b in booting) {
@@ -147,7 +157,7 @@
                 }
                 val flavor = flavors.getValue(offer.type)
                 val room = Room.of(flavor)
-                val fitting = open.filter { room.covers(it.first.room) }.sumOf { (work, tasks) -> tasks * share(work, horizon(work, false, dear)) }
+                val fitting = open.filter { room.covers(it.first.room) }.sumOf { (work, tasks) -> tasks * share(work.room, work.seconds, horizon(work, false, dear)) }
                 if (fitting < flavor.cpus * WORTH) continue
                 val number = ceil(fitting / flavor.cpus - WORTH).toInt().coerceIn(1, MAX_RENT)
                 rent.merge(offer, number, Int::plus)
@@ -172,7 +182,7 @@
      */
     private fun unneeded(view: FleetView, supply: List<Supply>, running: Map<HostName, Double>): Set<HostName> {
         val up = supply.filter { it.up }
-        val waiting = view.waiting.sumOf { it.tasks * share(it, tuning.drain) }
+        val waiting = view.waiting.sumOf { it.tasks * share(it.room, it.seconds, drain) }
         var slack = up.sumOf { it.room.cpus } - running.values.sum() - waiting
         val out = HashSet<HostName>()
         for (s in up.sortedWith(compareBy({ -it.price }, { running[it.name] ?: 0.0 }))) {
@@ -194,7 +204,7 @@
             for (s in supply) {
                 if (rest <= 0) break
                 if (s.left <= 0 || !s.room.covers(work.room)) continue
-                val each = share(work, horizon(work, s.up, dear)) * weight(work.room, s.room)
+                val each = share(work.room, work.seconds, horizon(work, s.up, dear)) * weight(work.room, s.room)
                 val taken = minOf(s.left, rest * each)
                 s.left -= taken
                 s.used = true
@@ -210,14 +220,13 @@
      * The time within which machines should get work done. Those that are up work on while others
      * would still boot; and what can wait for a cheap machine is not worth a dear one.
      */
-    private fun horizon(work: Work, up: Boolean, dear: Boolean): Duration {
-        val drain = if (up) tuning.drain + tuning.boot else tuning.drain
-        return if (dear) maxOf(drain, work.slack / 4) else drain
+    private fun horizon(work: Work, up: Boolean, dear: Boolean): Double {
+        val time = if (up) drain + boot else drain
+        return if (dear) maxOf(time, work.slack.toDouble(DurationUnit.SECONDS) / 4) else time
     }
 
     /** Processors that a task keeps busy over that time. */
-    private fun share(work: Work, horizon: Duration): Double =
-        work.room.cpus.coerceAtLeast(0.1) * minOf(1.0, work.seconds.seconds / horizon)
+    private fun share(task: Room, seconds: Double, horizon: Double): Double = task.cpus.coerceAtLeast(0.1) * minOf(1.0, seconds / horizon)
 
     /** Memory counts as the processors that it blocks. */
     private fun weight(task: Room, machine: Room): Double {
@@ -225,7 +234,7 @@
         return maxOf(1.0, byMemory / task.cpus.coerceAtLeast(0.1))
     }
 
-    private fun need(work: Work, room: Room, horizon: Duration): Double = work.tasks * share(work, horizon) * weight(work.room, room)
+    private fun need(task: Room, seconds: Double, machine: Room, horizon: Double): Double = share(task, seconds, horizon) * weight(task, machine)
 
     private companion object {
         /** From this times the cheapest price on, a machine is dear: kept no longer than needed. */
--- a/src/main/kotlin/umberslip/records/Replica.kt
+++ b/src/main/kotlin/umberslip/records/Replica.kt
@@ -43,6 +43,9 @@
     private val jobs = HashMap<JobId, Stamped<JobRecord>>()
     private val chunks = HashMap<JobId, HashMap<Int, Stamped<ChunkRecord>>>()
     private val entries = HashMap<Int, Stamped<LogRecord>>()
+
+    /** The rows of the log by job, since every question about a job asks for its own. */
+    private val rowsOf = HashMap<JobId, HashMap<Int, LogRow>>()
     private val corrupt = HashSet<String>()
 
     override var owner: Stamped<OwnerRecord>? = null
@@ -65,7 +68,7 @@
     override fun progress(id: JobId): Pair<Int, Int> {
         val all = chunks[id]?.values ?: emptyList()
         val seq = all.minOfOrNull { it.value.seq } ?: 0L
-        val rows = entries.values.mapNotNull { entry -> entry.value.rows[id]?.takeIf { entry.value.seq > seq } }
+        val rows = rowsOf[id].orEmpty().filter { (slot, _) -> (entries[slot]?.value?.seq ?: 0L) > seq }.values
         val pieces = jobs[id]?.value?.spec?.pieces ?: 0
         val ended = rows.sumOf { it.ends.size }
         val done = minOf(all.sumOf { it.value.done.cardinality() } + rows.sumOf { row -> row.ends.count { it.done } }, pieces)
@@ -111,7 +114,7 @@
                 null
             }
             slot != null -> {
-                if ((entries[slot]?.stamp?.value ?: 0L) < entry.stamp.value) entries[slot] = Stamped(LogRecord.parse(entry.data), entry.stamp)
+                if ((entries[slot]?.stamp?.value ?: 0L) < entry.stamp.value) logged(slot, Stamped(LogRecord.parse(entry.data), entry.stamp))
                 null
             }
             entry.key == Keys.OWNER -> {
@@ -144,6 +147,16 @@
         null
     }
 
+    private fun logged(slot: Int, record: Stamped<LogRecord>) {
+        entries[slot]?.value?.rows?.keys?.forEach { job ->
+            val rows = rowsOf[job] ?: return@forEach
+            rows.remove(slot)
+            if (rows.isEmpty()) rowsOf.remove(job)
+        }
+        entries[slot] = record
+        for ((job, row) in record.value.rows) rowsOf.getOrPut(job) { HashMap() }[slot] = row
+    }
+
     private fun drop(key: String, stamp: Stamp): RecordEvent? {
         corrupt.remove(key)
         val jobId = Keys.asJob(key)
--- a/src/test/kotlin/umberslip/admission/FeasibilityTest.kt
+++ b/src/test/kotlin/umberslip/admission/FeasibilityTest.kt
@@ -5,14 +5,14 @@
 import umberslip.records.Shape
 import umberslip.settings.TeamSettings
 import umberslip.sim.Samples
-import umberslip.sim.World
+import umberslip.sim.WorldSize
 import kotlin.random.Random
 
 class FeasibilityTest {
     private val teams = listOf(TeamSettings("blue", 8.0, 0.0, 24.0, null), TeamSettings("green", 0.0, 0.0, null, null)).associateBy { it.name }
     private val job = Samples.job(Random(1), 1).copy(team = "blue", types = null, zone = null, cpus = 4.0, memoryGb = 4.0, pieces = 10)
 
-    private fun objection(spec: umberslip.records.JobSpec) = Feasibility.objection(spec, teams, World.FLAVORS, listOf("east", "west"))
+    private fun objection(spec: umberslip.records.JobSpec) = Feasibility.objection(spec, teams, WorldSize.SMALL, listOf("east", "west"))
 
     @Test
     fun `what can run is not refused, and what never can is`() {
--- a/src/test/kotlin/umberslip/dispatch/TestBoard.kt
+++ b/src/test/kotlin/umberslip/dispatch/TestBoard.kt
@@ -18,7 +18,7 @@
 import umberslip.settings.Timings
 import umberslip.settings.Tuning
 import umberslip.sim.Samples
-import umberslip.sim.World
+import umberslip.sim.WorldSize
 import umberslip.state.Change
 import umberslip.state.Stamp
 import umberslip.state.Write
@@ -31,7 +31,7 @@
 class TestBoard(val term: Term = Term(5), private val replica: Replica = Replica()) {
     val settings = Settings.parse(Samples.settingsJson("c-0"))
     val timings = Timings(settings.workers, Tuning())
-    val board = Board(settings, timings, term, Stamp(1), { Instant.EPOCH }).also { it.setFlavors(World.FLAVORS) }
+    val board = Board(settings, timings, term, Stamp(1), { Instant.EPOCH }).also { it.setFlavors(WorldSize.SMALL) }
     private val upkeep = Upkeep(board, settings, timings)
     var now: Duration = 100.seconds
     var stamp = 100L
--- a/src/test/kotlin/umberslip/fleet/FleetPlannerTest.kt
+++ b/src/test/kotlin/umberslip/fleet/FleetPlannerTest.kt
@@ -7,17 +7,17 @@
 import umberslip.cloud.HostName
 import umberslip.cloud.Offer
 import umberslip.settings.Tuning
-import umberslip.sim.World
+import umberslip.sim.WorldSize
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class FleetPlannerTest {
-    private val flavors = World.FLAVORS.associateBy { it.label }
+    private val flavors = WorldSize.SMALL.associateBy { it.label }
     private val planner = FleetPlanner(Tuning())
     private val any = Where(null, null, true)
 
-    private fun machine(name: String, offer: Offer, running: List<Work> = emptyList()) = MachineView(
+    private fun machine(name: String, offer: Offer, running: List<Run> = emptyList()) = MachineView(
         HostName(name), offer, flavors[offer.type]?.let(Room::of), true, false, false, null, running.size, running, 0.seconds, 0.seconds, false, 0.0, 0.0,
     )
 
--- a/src/test/kotlin/umberslip/sim/RulesTest.kt
+++ b/src/test/kotlin/umberslip/sim/RulesTest.kt
@@ -37,7 +37,7 @@
 
     private fun play(seed: Int, length: Double, trouble: (World, Random) -> Unit, copied: Double = 0.0, machines: Int = 3) {
         val random = Random(seed)
-        val world = World(seed, Mischief(lossy = 0.01, late = 0.01, copied = copied), machines, Samples::settingsJson)
+        val world = World(seed, Mischief(lossy = 0.01, late = 0.01, copied = copied), WorldSize(machines), Samples::settingsJson)
         for (i in 0..2) world.startController(i)
         var number = 0
         var next = Duration.ZERO
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -49,8 +49,21 @@
 /** What goes wrong in a world: shares of calls and of reports copied; times of larger troubles come from the seed. */
 class Mischief(val lossy: Double, val late: Double, val copied: Double = 0.0)
 
+/**
+ * How large a world is. The small one has short pages and a short memory of changes, so that reading on
+ * and reading everything again are exercised too.
+ */
+class WorldSize(val machinesPerOffer: Int, val members: Int = 3, val pageItems: Int = 7, val changesKept: Int = 60, val flavors: List<Flavor> = SMALL) {
+    companion object {
+        val SMALL = listOf(
+            Flavor("small", 4.0, 0.0, 16.0, 1.0, 0.4, 0.2, 5.seconds, listOf("east", "west")),
+            Flavor("large", 16.0, 0.0, 64.0, 1.0, 1.5, 0.7, 5.seconds, listOf("east", "west")),
+        )
+    }
+}
+
 /** The state service's contract, in memory, with holds that run out. */
-class StoredState(private val now: () -> Duration) {
+class StoredState(private val size: WorldSize, private val now: () -> Duration) {
     private class Row(val data: Any?, val stamp: Long, val hold: Long?)
     private class HoldRow(val ttl: Duration, var until: Duration)
 
@@ -86,15 +99,14 @@
 
     fun list(prefix: String, after: String?): Page {
         val all = rows.tailMap(after ?: "", after == null).filterKeys { it.startsWith(prefix) }.entries
-        val page = all.take(7).map { Entry(it.key, it.value.data, Stamp(it.value.stamp)) }
-        return Page(page, all.size > 7, epoch)
+        val page = all.take(size.pageItems).map { Entry(it.key, it.value.data, Stamp(it.value.stamp)) }
+        return Page(page, all.size > size.pageItems, epoch)
     }
 
     fun changes(prefix: String, after: Long): Changes? {
-        // The log is short here, so that reading everything again is exercised too.
-        val oldest = if (log.size > 60) log[log.size - 60].stamp.value else 0
+        val oldest = if (log.size > size.changesKept) log[log.size - size.changesKept].stamp.value else 0
         if (after < oldest) return null
-        return Changes(epoch, log.filter { it.stamp.value > after && it.key.startsWith(prefix) })
+        return Changes(epoch, log.takeLastWhile { it.stamp.value > after }.filter { it.key.startsWith(prefix) })
     }
 
     fun txn(guards: List<Guard>, writes: List<Write>): TxnResult {
@@ -156,16 +168,19 @@
  * Several controllers, a state service, a cloud, workers and users in virtual time. After every
  * event the protocol's rules are checked against what really is on the machines.
  */
-class World(seed: Int, private val mischief: Mischief, private val machinesPerOffer: Int, settingsJson: (String) -> String) {
+class World(seed: Int, private val mischief: Mischief, private val size: WorldSize, settingsJson: (String) -> String) {
     private val random = Random(seed)
     val scheduler = TestCoroutineScheduler()
     private val dispatcher = StandardTestDispatcher(scheduler)
     private val scope = CoroutineScope(dispatcher + SupervisorJob())
-    private val members = listOf("c-0", "c-1", "c-2")
+    private val members = List(size.members) { "c-$it" }
     private val settings = members.map { Settings.parse(settingsJson(it)) }
+    private val lease = settings[0].workers.lease
+    private val cancelWithin = settings[0].workers.cancel
+    private val reportMillis = settings[0].workers.report.inWholeMilliseconds
     private val controllers = arrayOfNulls<Controller>(members.size)
     private val jobsOfControllers = arrayOfNulls<Job>(members.size)
-    val state = StoredState(::now)
+    val state = StoredState(size, ::now)
 
     /** From which time on a controller gets through to the state service or to machines again. */
     private val cutFromState = Array(members.size) { Duration.ZERO }
@@ -178,6 +193,11 @@
     var cloudOut = false
     private var zonesCutUntil = Duration.ZERO
     private val hires = HashMap<String, List<HostName>>()
+
+    /** Where each task of a job runs now, and what a team's running tasks take. */
+    private val running = HashMap<String, HashMap<TaskId, HashSet<SimMachine>>>()
+    private val used = HashMap<String, Double>()
+    private val limits = settings[0].teams.associate { it.name to it.cpusMax }
     private val specs = HashMap<String, JobSpec>()
     private val done = HashMap<String, HashSet<Int>>()
     private val accepted = HashSet<String>()
@@ -223,7 +243,7 @@
     }
 
     private fun reaches(from: Int, to: Int): Boolean =
-        controllers[to] != null && maxOf(cutFromPeers[from], cutFromPeers[to]) <= now() && !(zonesCutUntil > now() && ZONE_OF[from] != ZONE_OF[to]) && random.nextInt(20) > 0
+        controllers[to] != null && maxOf(cutFromPeers[from], cutFromPeers[to]) <= now() && !(zonesCutUntil > now() && settings[from].area != settings[to].area) && random.nextInt(20) > 0
 
     fun cutZones(time: Duration) {
         zonesCutUntil = now() + time
@@ -288,11 +308,11 @@
             return what()
         }
 
-        override suspend fun flavors(): List<Flavor> = call { FLAVORS }
+        override suspend fun flavors(): List<Flavor> = call { size.flavors }
 
         override suspend fun rent(name: String, offer: Offer, number: Int): List<HostName>? = call {
             hires[name] ?: run {
-                val room = machinesPerOffer - machines.values.count { !it.gone && it.offer == offer }
+                val room = size.machinesPerOffer - machines.values.count { !it.gone && it.offer == offer }
                 val made = List(minOf(number, room).coerceAtLeast(0)) {
                     val host = "h-%05d".format(machines.size)
                     SimMachine(host, offer, now(), now() + random.nextLong(1000, 9000).milliseconds).also {
@@ -319,7 +339,7 @@
 
     fun kill(machine: SimMachine) {
         machine.gone = true
-        machine.pieces.clear()
+        empty(machine)
     }
 
     fun upMachines(): List<SimMachine> = machines.values.filter { !it.gone && it.upAt <= now() }
@@ -348,7 +368,7 @@
 
     /** Ends and comes back at once, with nothing on it, and perhaps with no memory of its sessions. */
     fun reboot(machine: SimMachine, blank: Boolean) {
-        machine.pieces.clear()
+        empty(machine)
         machine.shift = if (blank) 1 else machine.shift + 1
         if (blank) machine.counter = 0
         if (blank) machine.warrant = 0
@@ -362,18 +382,18 @@
                 delay(100)
                 lease(m)
                 if (m.hungUntil <= now()) work(m)
-                check()
+                check(m)
             }
         }
         while (!m.gone) {
-            delay(random.nextLong(750, 1250))
+            delay(random.nextLong(reportMillis * 3 / 4, reportMillis * 5 / 4))
             if (m.hungUntil <= now()) report(m)
         }
     }
 
     private fun lease(m: SimMachine) {
-        if (now() - m.lastAnswered <= LEASE) return
-        m.pieces.clear()
+        if (now() - m.lastAnswered <= lease) return
+        empty(m)
         m.shift++
         m.lastAnswered = now()
     }
@@ -385,8 +405,7 @@
                 begins(m, p)
             }
             if (p.status == "running" && p.ends <= now()) {
-                p.status = "ended"
-                p.cause = if (m.sick) "error" else "done"
+                exit(m, p, if (m.sick) "error" else "done")
                 if (!m.sick) done.getOrPut(p.spec.id.value) { HashSet() }.add(p.task.index)
             }
         }
@@ -431,7 +450,7 @@
             }
         }
         val controller = controllers[to]
-        val cut = (cutUntil[to to zone] ?: Duration.ZERO) > now() || (zonesCutUntil > now() && ZONE_OF[to] != zone)
+        val cut = (cutUntil[to to zone] ?: Duration.ZERO) > now() || (zonesCutUntil > now() && settings[to].area != zone)
         val luck = random.nextDouble()
         if (cut || luck < mischief.late) {
             scope.launch {
@@ -472,10 +491,7 @@
                     m.pieces[task] = p
                 }
             }
-            "stop" -> if (here != null && here.attempt == attempt && here.status != "ended") {
-                here.status = "ended"
-                here.cause = "halted"
-            }
+            "stop" -> if (here != null && here.attempt == attempt && here.status != "ended") exit(m, here, "halted")
             "clear" -> if (here != null && here.attempt == attempt && here.status == "ended") m.pieces.remove(task)
         }
     }
@@ -484,39 +500,49 @@
 
     private fun isOn(p: OnMachine) = p.status == "running"
 
+    private fun exit(m: SimMachine, p: OnMachine, cause: String) {
+        leave(m, p)
+        p.status = "ended"
+        p.cause = cause
+    }
+
+    private fun empty(m: SimMachine) {
+        m.pieces.values.forEach { leave(m, it) }
+        m.pieces.clear()
+    }
+
+    private fun leave(m: SimMachine, p: OnMachine) {
+        if (!isOn(p)) return
+        running[p.spec.id.value]?.get(p.task)?.remove(m)
+        used.merge(p.spec.team, -p.spec.cpus, Double::plus)
+    }
+
     private fun begins(m: SimMachine, p: OnMachine) {
         starts++
         val id = p.spec.id.value
-        for (other in machines.values) {
-            if (other === m || other.gone) continue
-            val there = other.pieces[p.task]
-            // A hung machine's tasks count until its lease is over.
-            if (there != null && isOn(there) && now() - other.lastAnswered <= LEASE) broke("ran_twice: ${p.task} on ${other.name} and ${m.name}")
-        }
+        val ofJob = running.getOrPut(id) { HashMap() }
+        // A hung machine's tasks count until its lease is over.
+        for (other in ofJob[p.task].orEmpty()) if (now() - other.lastAnswered <= lease) broke("ran_twice: ${p.task} on ${other.name} and ${m.name}")
+        ofJob.getOrPut(p.task) { HashSet() } += m
+        val uses = used.merge(p.spec.team, p.spec.cpus, Double::plus) ?: 0.0
+        limits[p.spec.team]?.let { if (uses > it + 1e-6) broke("quota: ${p.spec.team} uses $uses") }
         if (p.spec.types != null && m.offer.type !in p.spec.types.orEmpty()) broke("wrong_place: ${p.task} on ${m.offer}")
         if (p.spec.zone != null && p.spec.zone != m.offer.zone) broke("wrong_place: ${p.task} on ${m.offer}")
         if (m.offer.spot && !p.spec.spot) broke("wrong_place: ${p.task} on ${m.offer}")
-        val zones = machines.values.filter { !it.gone }.flatMap { o -> o.pieces.values.filter { it.spec.id == p.spec.id && isOn(it) }.map { o.offer.zone } }
-        if (p.spec.oneZone && zones.toSet().size > 1) broke("wrong_place: $id in $zones")
-        if (p.spec.spread && zones.count { it == m.offer.zone } > p.spec.maxPerZone) broke("wrong_place: $id not spread")
-        toldCancelled[id]?.let { if (now() - it > CANCEL) broke("ran_cancelled: ${p.task} starts") }
-    }
-
-    private fun check() {
-        val used = HashMap<String, Double>()
-        for (m in machines.values) {
-            if (m.gone) continue
-            for (p in m.pieces.values) {
-                if (!isOn(p)) continue
-                used.merge(p.spec.team, p.spec.cpus, Double::plus)
-                toldCancelled[p.spec.id.value]?.let {
-                    if (now() - it > CANCEL && now() - m.lastAnswered <= LEASE) broke("ran_cancelled: ${p.task} on ${m.name}")
-                }
-            }
+        if (p.spec.oneZone || p.spec.spread) {
+            val zones = ofJob.values.flatMap { on -> on.map { it.offer.zone } }
+            if (p.spec.oneZone && zones.toSet().size > 1) broke("wrong_place: $id in $zones")
+            if (p.spec.spread && zones.count { it == m.offer.zone } > p.spec.maxPerZone) broke("wrong_place: $id not spread")
         }
-        for (t in settings[0].teams) {
-            val most = t.cpusMax ?: continue
-            if ((used[t.name] ?: 0.0) > most + 1e-6) broke("quota: ${t.name} uses ${used[t.name]}")
+        toldCancelled[id]?.let { if (now() - it > cancelWithin) broke("ran_cancelled: ${p.task} starts") }
+    }
+
+    private fun check(m: SimMachine) {
+        for (p in m.pieces.values) {
+            if (!isOn(p)) continue
+            toldCancelled[p.spec.id.value]?.let {
+                if (now() - it > cancelWithin && now() - m.lastAnswered <= lease) broke("ran_cancelled: ${p.task} on ${m.name}")
+            }
         }
     }
 
@@ -610,13 +636,6 @@
     }
 
     companion object {
-        private val ZONE_OF = listOf("east", "west", "east")
-        val LEASE = 10.seconds
-        val CANCEL = 30.seconds
         val KNOWN_WITHIN = 75.seconds
-        val FLAVORS = listOf(
-            Flavor("small", 4.0, 0.0, 16.0, 1.0, 0.4, 0.2, 5.seconds, listOf("east", "west")),
-            Flavor("large", 16.0, 0.0, 64.0, 1.0, 1.5, 0.7, 5.seconds, listOf("east", "west")),
-        )
     }
 }
