Condemned and relayed machines fit one value; a full server makes room; one number per report

Cause, by reading for the fleet's size: the records of condemned machines, and of relayed ones, grew with the fleet past value_kb (then no batch at all would be taken), relayed notes dropped what was over 200, a full server refused users while idle connections stayed, its backlog was 256, and a slow state service could take more sockets than were reserved.

--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -57,8 +57,9 @@
 
     /** Pieces in the newest report that carried the owner's own term. */
     var reported: Map<TaskId, Piece> = emptyMap()
-    var shift = -1L
-    var counter = -1L
+
+    /** That of the newest report; null before the first. */
+    var mark: Mark? = null
 
     /** A report with the owner's own term has shown what is on the machine. */
     var proven = false
@@ -127,7 +128,4 @@
     }
 
     fun free(): Room? = capacity?.minus(used)
-
-    fun isNewer(report: Report): Boolean =
-        report.shift > shift || (report.shift == shift && report.counter > counter)
 }
--- a/src/main/kotlin/umberslip/agents/Relay.kt
+++ b/src/main/kotlin/umberslip/agents/Relay.kt
@@ -1,6 +1,7 @@
 package umberslip.agents
 
 import umberslip.cloud.HostName
+import umberslip.records.HostsRecord
 import umberslip.records.RecordView
 
 /**
@@ -10,12 +11,10 @@
  * cancellation bites here too. Pure.
  */
 class Relay {
-    private class Newest(val shift: Long, val counter: Long)
-
-    private val newest = object : LinkedHashMap<HostName, Newest>() {
-        override fun removeEldestEntry(eldest: Map.Entry<HostName, Newest>) = size > MAX_HOSTS
+    private val newest = object : LinkedHashMap<HostName, Mark>() {
+        override fun removeEldestEntry(eldest: Map.Entry<HostName, Mark>) = size > MAX_HOSTS
     }
-    private val heard = HashSet<HostName>()
+    private val heard = LinkedHashSet<HostName>()
 
     /**
      * Takes note of a report; false for a late copy. Only a worker whose answers arrive stays here and
@@ -23,14 +22,14 @@
      */
     fun isNew(report: Report): Boolean {
         val known = newest[report.host]
-        if (known != null && (report.shift < known.shift || (report.shift == known.shift && report.counter <= known.counter))) return false
-        if (known != null && report.shift == known.shift && report.counter == known.counter + 1) heard += report.host
-        newest[report.host] = Newest(report.shift, report.counter)
+        if (known != null && report.mark <= known) return false
+        if (known != null && report.mark.follows(known)) heard += report.host
+        newest[report.host] = report.mark
         return true
     }
 
-    /** The machines that were alive since this was last asked. */
-    fun takeHeard(most: Int): Set<HostName> = heard.take(most).toSet().also { heard.clear() }
+    /** The machines that were alive since they were last taken, as many as one value holds; the rest come next. */
+    fun takeHeard(valueBytes: Int): Set<HostName> = HostsRecord.fitting(heard, valueBytes).also { heard -= it }
 
     companion object {
         private const val MAX_HOSTS = 4096
--- a/src/main/kotlin/umberslip/agents/Reports.kt
+++ b/src/main/kotlin/umberslip/agents/Reports.kt
@@ -26,14 +26,21 @@
 
 data class Piece(val task: TaskId, val attempt: Long, val status: PieceStatus, val cause: Cause?, val saved: Boolean)
 
+/** Which report of its machine one is: a session, and a number within it. The larger is the newer. */
+data class Mark(val shift: Long, val counter: Long) : Comparable<Mark> {
+    override fun compareTo(other: Mark): Int = compareValuesBy(this, other, Mark::shift, Mark::counter)
+
+    /** The worker sent nothing in between. */
+    fun follows(other: Mark): Boolean = shift == other.shift && counter == other.counter + 1
+}
+
 /** What a worker says of its machine. */
 data class Report(
     val host: HostName,
     val type: String,
     val zone: String,
     val spot: Boolean,
-    val shift: Long,
-    val counter: Long,
+    val mark: Mark,
     val warrant: Term,
     val warningSeconds: Double?,
     val pieces: List<Piece>,
@@ -68,7 +75,7 @@
             }
             return Report(
                 HostName(there(host, "host").ifEmpty { throw Malformed("host is empty") }), there(type, "hosttype"), there(zone, "hall"), spot,
-                there(shift, "shift"), there(counter, "counter"), Term(there(warrant, "warrant")), warning, pieces,
+                Mark(there(shift, "shift"), there(counter, "counter")), Term(there(warrant, "warrant")), warning, pieces,
             )
         }
 
--- a/src/main/kotlin/umberslip/daemon/Controller.kt
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -111,7 +111,7 @@
 
     /** Tells the owner, which the workers cannot reach, that they are alive; a late copy of a note changes nothing. */
     private suspend fun noteRelayed() {
-        val hosts = relay.takeHeard(MAX_RELAYING)
+        val hosts = relay.takeHeard(settings.stateLimits.valueBytes)
         if (hosts.isEmpty()) return
         val key = Keys.relayed(settings.member)
         try {
@@ -205,19 +205,19 @@
         // Sent to a controller that cannot be reached, a worker would lose seconds of its lease there.
         // Here its lease is renewed while the record stands; else it asks around.
         if (other == null || relaying >= MAX_RELAYING) {
-            respond(NOT_HERE)
+            respond(Response.NOT_HERE)
             return
         }
         val report = Report.parse(request.body)
         if (!served() || !relay.isNew(report)) {
-            respond(NOT_HERE)
+            respond(Response.NOT_HERE)
             return
         }
         relaying++
         scope.launch {
             val answer = reader.confirm()?.let { Relay.answer(report, it) }
             relaying--
-            respond(if (answer == null) NOT_HERE else Response(200, mapOf("warrant" to answer.first, "orders" to answer.second.map { it.toMap() })))
+            respond(if (answer == null) Response.NOT_HERE else Response(200, mapOf("warrant" to answer.first, "orders" to answer.second.map { it.toMap() })))
         }
     }
 
@@ -228,6 +228,5 @@
         const val OWNER_SHARE = 0.7
         const val MAX_RELAYING = 200
         val NOTE_EVERY = 3.seconds
-        val NOT_HERE = Response(421, emptyMap<String, Any?>())
     }
 }
--- a/src/main/kotlin/umberslip/daemon/Daemon.kt
+++ b/src/main/kotlin/umberslip/daemon/Daemon.kt
@@ -43,7 +43,7 @@
     )
 
     fun run() {
-        val server = HttpServer(group, settings.sockets - RESERVED_SOCKETS, controller::handle).bind(settings.bind)
+        val server = HttpServer(group, settings.sockets - settings.sockets / OWN_SHARE - OWN_SOCKETS, controller::handle).bind(settings.bind)
         peers.bind(settings.peerListen)
         group.next().execute {
             peers.start()
@@ -55,7 +55,9 @@
 
     private companion object {
         const val MAX_BODY = 8 * 1024 * 1024
-        const val RESERVED_SOCKETS = 30
+        /** Sockets kept for calls of its own: a slow state service holds many at once. */
+        const val OWN_SOCKETS = 20
+        const val OWN_SHARE = 10
         const val CLOUD_SHARE = 0.8
     }
 }
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -203,7 +203,8 @@
         if (report.host in returned) return Verdict.STALE
         if (report.warrant > term) return Verdict.OUTRANKED
         val known = machines[report.host]
-        if (known != null && !known.isNewer(report)) return Verdict.STALE
+        val last = known?.mark
+        if (last != null && report.mark <= last) return Verdict.STALE
         if (report.warrant < term) {
             if (known != null) describe(known, report)
             known?.proven = false
@@ -213,8 +214,8 @@
         // The worker stays with a controller only if its answer arrived, and knows this term only from
         // an answer: so either shows that it hears. Reports alone do not: answers to it may be lost,
         // and copies of old reports may come late.
-        machine.hears = !machine.proven || (report.shift == machine.shift && report.counter == machine.counter + 1)
-        val newShift = report.shift != machine.shift && machine.proven
+        machine.hears = !machine.proven || last == null || report.mark.follows(last)
+        val newShift = machine.proven && report.mark.shift != last?.shift
         describe(machine, report)
         if (machine.firstHeard == null) {
             machine.firstHeard = now
@@ -242,8 +243,7 @@
         machine.type = report.type
         machine.spot = report.spot
         machine.capacity = capacities[report.type]
-        machine.shift = report.shift
-        machine.counter = report.counter
+        machine.mark = report.mark
     }
 
     /** Records do not say in which zone a machine is; the zones of its tasks are set by its first report. */
@@ -287,7 +287,7 @@
             a.runningSince = null
             if (newShift || a.windDown != null || a.job.cancelled || !(machine.usable || machine.staysFor(now) > Duration.ZERO)) release(a, now)
         }
-        if (newShift) log.info("machine {} began session {}", machine.name.value, report.shift)
+        if (newShift) log.info("machine {} began session {}", machine.name.value, report.mark.shift)
     }
 
     private fun ended(machine: Machine, a: Assignment, cause: Cause, now: Duration) {
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -29,6 +29,10 @@
     /** Without a guarantee a team still has a share: that of the smallest unit. */
     val weight: Double = team.cpus.coerceAtLeast(1.0)
 
+    /** How many jobs were looked at for machines' free room: the work that reports cost. */
+    var considered = 0L
+        private set
+
     /** No waiting task takes less of anything; null until asked for again. */
     private var least: Room? = null
 
@@ -84,7 +88,11 @@
         if (queue.isEmpty()) return null
         // Most reports come from machines that are full; they are not to cost a look at every job that waits.
         val least = least ?: Room(queue.minOf { it.room.cpus }, queue.minOf { it.room.gpus }, queue.minOf { it.room.memoryGb }).also { least = it }
-        return if (free.covers(least)) queue.firstOrNull { mayPlace(it, machine, free, now, within) } else null
+        if (!free.covers(least)) return null
+        return queue.firstOrNull {
+            considered++
+            mayPlace(it, machine, free, now, within)
+        }
     }
 
     /** Whether a task of this job may be placed on that machine now; [within] is how long the machine stays. */
--- a/src/main/kotlin/umberslip/dispatch/Ledger.kt
+++ b/src/main/kotlin/umberslip/dispatch/Ledger.kt
@@ -97,7 +97,12 @@
     /** Machines that the record condemns, and those that it should. */
     private var condemned: Set<HostName> = emptySet()
     private var condemnedStamp = Stamp.NONE
-    val toCondemn = HashSet<HostName>()
+
+    /**
+     * In the order in which they came, since only the first so many fit into the record: what is in it
+     * stays until it is taken from here. What was left out for a later one would be in others' reach again.
+     */
+    val toCondemn = LinkedHashSet<HostName>()
 
     fun started(a: Assignment, now: Duration) {
         starts += a
@@ -171,11 +176,12 @@
         fun compose(machines: Set<HostName>): Batch? {
             toCondemn.retainAll(machines)
             var condemn: Set<HostName>? = null
-            if (toCondemn != condemned) {
-                condemn = toCondemn.toSet()
-                writes += Write.Put(Keys.CONDEMNED, HostsRecord(condemn).toMap())
+            val fitting = HostsRecord.fitting(toCondemn, limits.valueBytes)
+            if (fitting != condemned) {
+                condemn = fitting
+                writes += Write.Put(Keys.CONDEMNED, HostsRecord(fitting).toMap())
                 guards += Guard(Keys.CONDEMNED, condemnedStamp)
-                size += condemn.sumOf { it.value.length + 4 }
+                size += fitting.sumOf { it.value.length + 4 }
             }
             jobsOver()
             val lasting = log()
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -8,6 +8,7 @@
 import umberslip.actor.Actor
 import umberslip.actor.Clock
 import umberslip.agents.Machine
+import umberslip.agents.Mark
 import umberslip.agents.Order
 import umberslip.agents.Report
 import umberslip.cloud.Flavor
@@ -39,7 +40,7 @@
     class RecordsChanged(val events: List<RecordEvent>) : OwnerMessage
     class Flavors(val all: List<Flavor>) : OwnerMessage
     class Written(val batch: Batch, val outcome: TxnResult?) : OwnerMessage
-    class Deal(val host: HostName, val counter: Long) : OwnerMessage
+    class Deal(val host: HostName, val mark: Mark) : OwnerMessage
     data object Tick : OwnerMessage
     data object Flush : OwnerMessage
 
@@ -69,7 +70,7 @@
     private val sight: () -> Sight,
     metrics: MeterRegistry,
 ) : Actor<OwnerMessage>("dispatch", scope) {
-    private class Waiting(val counter: Long, val respond: (Response) -> Unit, val until: Duration)
+    private class Waiting(val mark: Mark, val respond: (Response) -> Unit, val until: Duration)
 
     private var board: Board? = null
     private var upkeep: Upkeep? = null
@@ -175,7 +176,7 @@
         }
         reports.increment()
         if (mayBeReplaced(report.host, now)) {
-            respond(NOT_HERE)
+            respond(Response.NOT_HERE)
             return
         }
         when (board.report(report, now)) {
@@ -190,8 +191,8 @@
             }
             Verdict.ANSWER -> {
                 waiting.remove(report.host)?.respond?.invoke(REFUSED)
-                waiting[report.host] = Waiting(report.counter, respond, now + REPLY_WITHIN)
-                dealOn(OwnerMessage.Deal(report.host, report.counter), now)
+                waiting[report.host] = Waiting(report.mark, respond, now + REPLY_WITHIN)
+                dealOn(OwnerMessage.Deal(report.host, report.mark), now)
             }
         }
     }
@@ -213,7 +214,7 @@
     private fun dealOn(deal: OwnerMessage.Deal, now: Duration) {
         val board = board ?: return
         val machine = board.machines[deal.host] ?: return
-        if (machine.counter != deal.counter) return
+        if (machine.mark != deal.mark) return
         if (authority.mayStart(now)) {
             val end = now + tuning.roundBudget
             if (!board.deal(machine, now) { clock.now() > end }) {
@@ -226,7 +227,7 @@
 
     private fun answer(board: Board, machine: Machine, now: Duration) {
         val waiter = waiting.remove(machine.name) ?: return
-        if (waiter.counter != machine.counter || machine.releasing || !authority.mayAnswer(now)) {
+        if (waiter.mark != machine.mark || machine.releasing || !authority.mayAnswer(now)) {
             waiter.respond(REFUSED)
             return
         }
@@ -345,7 +346,6 @@
         val RETRY = 200.milliseconds
         val REPLY_WITHIN = 1200.milliseconds
         const val MIN_OPS = 3
-        val NOT_HERE = Response(421, emptyMap<String, Any?>())
         val REFUSED = Response.later(1, "not the owner, or an old report")
     }
 }
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -204,7 +204,11 @@
         noted = booting.keys.toSet()
         notedAt = clock.now()
         val base = wallClock().toEpochMilli() - clock.now().inWholeMilliseconds
-        val rows = booting.values.take((settings.stateLimits.valueBytes - NOTE_BYTES) / NOTED_BYTES).map {
+        var bytes = NOTE_BYTES
+        val rows = booting.values.takeWhile {
+            bytes += NOTED_BYTES + it.name.value.length + it.offer.type.length + it.offer.zone.length
+            bytes <= settings.stateLimits.valueBytes
+        }.map {
             mapOf(
                 "host" to it.name.value, "type" to it.offer.type, "zone" to it.offer.zone, "spot" to it.offer.spot,
                 "since_ms" to base + it.since.inWholeMilliseconds,
@@ -326,6 +330,6 @@
         const val SILENT_SHARE = 0.8
         const val MAX_RELEASE = 100
         const val NOTE_BYTES = 100
-        const val NOTED_BYTES = 130
+        const val NOTED_BYTES = 80
     }
 }
--- a/src/main/kotlin/umberslip/http/HttpServer.kt
+++ b/src/main/kotlin/umberslip/http/HttpServer.kt
@@ -43,6 +43,9 @@
         /** Asks the sender to come back; always answered at once, never held back. */
         fun later(seconds: Int, why: String, close: Boolean = false) = Response(503, mapOf("error" to why), seconds, close = close)
 
+        /** To a worker: not here, and nobody is known to be the one; it asks around. */
+        val NOT_HERE = Response(421, emptyMap<String, Any?>())
+
         fun error(status: Int, why: String) = Response(status, mapOf("error" to why))
     }
 }
@@ -55,23 +58,32 @@
 /** The one HTTP listener of a controller: users, workers and health checks. */
 class HttpServer(private val group: EventLoopGroup, private val maxConnections: Int, private val handler: Handler) {
     private val log = LoggerFactory.getLogger("umberslip.http")
+
+    /** Connections with no request on them, the longest idle first, and how many there are in all. */
+    private val idle = LinkedHashSet<Channel>()
     private var open = 0
 
     fun bind(address: InetSocketAddress): Channel = ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_BACKLOG, 256)
+        // After a takeover the workers of the whole fleet connect at once.
+        .option(ChannelOption.SO_BACKLOG, maxConnections)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                // The process has a fixed number of sockets; some stay free for its own calls.
-                if (open >= maxConnections) {
+                // The process has a fixed number of sockets; some stay free for its own calls. Whoever was
+                // idle longest makes room, so that users and workers find it however many others came once.
+                if (open >= maxConnections && idle.firstOrNull()?.close() == null) {
                     channel.close()
                     return
                 }
                 open++
-                channel.closeFuture().addListener { open-- }
+                idle += channel
+                channel.closeFuture().addListener {
+                    open--
+                    idle -= channel
+                }
                 channel.pipeline().addLast(HttpServerCodec(), Aggregator(), IdleStateHandler(0, 0, IDLE_SECONDS), Connection())
             }
         })
@@ -89,6 +101,7 @@
     private inner class Connection : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(ctx: ChannelHandlerContext, message: FullHttpRequest) {
             val keepAlive = HttpUtil.isKeepAlive(message)
+            idle -= ctx.channel()
             if (message.decoderResult().isFailure) {
                 send(ctx, Response.error(400, "not HTTP"), false)
                 return
@@ -135,7 +148,7 @@
         response.retryAfterSeconds?.let { headers.set(HttpHeaderNames.RETRY_AFTER, it) }
         if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, "close")
         val written = ctx.writeAndFlush(message)
-        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE) else if (ctx.channel().isActive) idle += ctx.channel()
     }
 
     private companion object {
--- a/src/main/kotlin/umberslip/records/Records.kt
+++ b/src/main/kotlin/umberslip/records/Records.kt
@@ -194,6 +194,18 @@
     fun toMap(): Map<String, Any?> = mapOf("hosts" to hosts.map { it.value })
 
     companion object {
+        private const val FIXED_BYTES = 20
+        private const val ENTRY_BYTES = 3
+
+        /** The first of them, as many as fit into a value: a fleet may have more machines than that. */
+        fun fitting(hosts: Collection<HostName>, valueBytes: Int): Set<HostName> {
+            var bytes = FIXED_BYTES
+            return hosts.takeWhile {
+                bytes += it.value.length + ENTRY_BYTES
+                bytes <= valueBytes
+            }.toSet()
+        }
+
         fun parse(data: Any?): HostsRecord =
             HostsRecord((Fields.of(data).textsOrNull("hosts") ?: emptyList()).mapTo(HashSet(), ::HostName))
     }
--- a/src/test/kotlin/umberslip/agents/RelayTest.kt
+++ b/src/test/kotlin/umberslip/agents/RelayTest.kt
@@ -33,7 +33,7 @@
     }
 
     private fun answer(warrant: Long = 4) =
-        Relay.answer(Report(HostName("m"), "small", "east", false, 1, 1, Term(warrant), null, listOf(running)), replica)
+        Relay.answer(Report(HostName("m"), "small", "east", false, Mark(1, 1), Term(warrant), null, listOf(running)), replica)
 
     @Test
     fun `a report is answered with the owner's term while the records allow it`() {
@@ -54,15 +54,15 @@
     @Test
     fun `late copies count for nothing, and only two reports in a row are a sign of life`() {
         val relay = Relay()
-        fun report(shift: Long, counter: Long) = Report(HostName("m"), "small", "east", false, shift, counter, Term(4), null, emptyList())
+        fun report(shift: Long, counter: Long) = Report(HostName("m"), "small", "east", false, Mark(shift, counter), Term(4), null, emptyList())
         assertTrue(relay.isNew(report(1, 7)))
         assertFalse(relay.isNew(report(1, 7)))
         assertFalse(relay.isNew(report(1, 3)))
         assertTrue(relay.isNew(report(1, 9)))
-        assertEquals(emptySet<HostName>(), relay.takeHeard(10), "no answer arrived")
+        assertEquals(emptySet<HostName>(), relay.takeHeard(100), "no answer arrived")
         assertTrue(relay.isNew(report(1, 10)))
-        assertEquals(setOf(HostName("m")), relay.takeHeard(10))
-        assertEquals(emptySet<HostName>(), relay.takeHeard(10))
+        assertEquals(setOf(HostName("m")), relay.takeHeard(100))
+        assertEquals(emptySet<HostName>(), relay.takeHeard(100))
         assertTrue(relay.isNew(report(2, 1)))
         assertFalse(relay.isNew(report(1, 11)))
     }
--- a/src/test/kotlin/umberslip/dispatch/BoardTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/BoardTest.kt
@@ -15,6 +15,7 @@
 import umberslip.records.Term
 import umberslip.records.Urgency
 import umberslip.state.Stamp
+import umberslip.state.Write
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
@@ -449,4 +450,46 @@
         t.report("a", counter = 10)
         assertFalse(t.isUnheard(), "one of five is heard")
     }
+
+    @Test
+    fun `who is condemned stays so until heard, when more are than one value names`() {
+        // A value that names others instead would let any controller renew the first ones' leases again.
+        val names = List(300) { "host-%06d".format(it) }
+        fun named() = (t.written.last { it.key == Keys.CONDEMNED } as Write.Put).data.getValue("hosts").let { all -> (all as List<*>).map { it as String } }
+        t.job { it.copy(pieces = 300, cpus = 4.0) }.let { job ->
+            names.forEach { t.report(it) }
+            t.now += 2.seconds
+            names.forEach { t.deal(it) }
+            t.write()
+            assertEquals(300, job.assigned.size)
+        }
+        t.now += 100.seconds
+        t.tick()
+        t.write()
+        val first = named()
+        assertTrue(first.size in 100..299, "${first.size} are named")
+        t.report(first[0], counter = 5)
+        t.report(first[0], counter = 6)
+        t.now += 1.seconds
+        t.tick()
+        t.write()
+        assertEquals(first.drop(1), named().take(first.size - 1))
+        assertEquals(first.size, named().size, "the next takes the free place")
+    }
+
+    @Test
+    fun `a report of a full machine costs the same however many jobs wait`() {
+        val spec = { pieces: Int -> t.job { it.copy(pieces = pieces, cpus = 1.0, memoryGb = 0.5) } }
+        spec(4)
+        t.report("m")
+        t.now += 2.seconds
+        t.deal("m")
+        repeat(500) { n -> t.job { it.copy(pieces = 10, cpus = 1.0 + n % 3) } }
+        val before = t.board.teams.getValue("green").considered
+        repeat(20) {
+            t.report("m")
+            t.deal("m")
+        }
+        assertEquals(before, t.board.teams.getValue("green").considered)
+    }
 }
--- a/src/test/kotlin/umberslip/dispatch/TestBoard.kt
+++ b/src/test/kotlin/umberslip/dispatch/TestBoard.kt
@@ -1,6 +1,7 @@
 package umberslip.dispatch
 
 import umberslip.agents.Cause
+import umberslip.agents.Mark
 import umberslip.agents.Order
 import umberslip.agents.Piece
 import umberslip.agents.PieceStatus
@@ -62,7 +63,7 @@
         val name = HostName(host)
         val next = counter ?: ((counters[name] ?: 0) + 1)
         counters[name] = next
-        return board.report(Report(name, type, zone, spot, shift, next, warrant, warning, pieces.toList()), now)
+        return board.report(Report(name, type, zone, spot, Mark(shift, next), warrant, warning, pieces.toList()), now)
             .also { if (it == Verdict.ANSWER || it == Verdict.GREET) board.answered(name, now) }
     }
 
--- a/src/test/kotlin/umberslip/http/HttpTest.kt
+++ b/src/test/kotlin/umberslip/http/HttpTest.kt
@@ -47,6 +47,20 @@
         assertEquals("still", call("/echo", mapOf("say" to "still")).fields().text("got"))
     }
 
+    @Test
+    fun `a full server closes who was idle longest and serves who comes`() {
+        val idle = List(10) { Socket().apply { connect(server.localAddress()); soTimeout = 20_000 } }
+        try {
+            // The last of them is known to have been taken in once it is answered.
+            idle.last().getOutputStream().write("GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n".toByteArray())
+            assertTrue(idle.last().getInputStream().read() > 0)
+            assertEquals("room", call("/echo", mapOf("say" to "room")).fields().text("got"))
+            assertEquals(-1, idle.first().getInputStream().read(), "its place was needed")
+        } finally {
+            idle.forEach { it.close() }
+        }
+    }
+
     @Test
     fun `who is sent elsewhere is answered at once, and the connection ends`() {
         Socket().use { socket ->
--- a/src/test/kotlin/umberslip/records/RecordsTest.kt
+++ b/src/test/kotlin/umberslip/records/RecordsTest.kt
@@ -44,6 +44,16 @@
         }
     }
 
+    @Test
+    fun `of a fleet's machines as many are named as fit into a value`() {
+        for (bytes in listOf(2048, 8192, 32768)) {
+            val all = List(3000) { HostName("host-%06d".format(it)) }
+            val named = HostsRecord.fitting(all, bytes)
+            assertEquals(all.take(named.size), named.toList())
+            assertTrue(Documents.jsonSize(HostsRecord(named).toMap()) in bytes - 50..bytes)
+        }
+    }
+
     @Test
     fun `a chunk of any progress is read back and fits into a value`() = runBlocking<Unit> {
         for (bytes in listOf(2048, 8192, 32768)) {
