--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -6,6 +6,7 @@
 import umberslip.dispatch.Ending
 import umberslip.dispatch.RunningJob
 import umberslip.records.JobId
+import umberslip.records.JobSpec
 import umberslip.records.Shape
 import umberslip.records.TaskId
 import kotlin.time.Duration
@@ -44,7 +45,13 @@
 /** A machine as its reports and our records show it. */
 class Machine(val name: HostName, var type: String, var zone: String, var spot: Boolean) {
     /** Null until the machine type is known; nothing is placed before. */
+    var flavor: Flavor? = null
+        set(value) {
+            field = value
+            capacity = value?.let(Room::of)
+        }
     var capacity: Room? = null
+        private set
     private val held = LinkedHashMap<TaskId, Assignment>()
     val assignments: Map<TaskId, Assignment> get() = held
 
@@ -108,6 +115,9 @@
     /** How many images are fetched, or in turn to be. */
     val fetches: Int get() = awaited.size
 
+    /** How long it fetches a job's image, with nothing else to fetch. */
+    fun fetchSeconds(spec: JobSpec): Double = flavor?.let { spec.imageGb / it.fetchGbPerSecond } ?: 0.0
+
     fun ran(image: String) {
         if (ready.add(image)) awaited.remove(image)
     }
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -73,7 +73,7 @@
     private val elders = Elders()
     private val returned = HashSet<HostName>()
     private val unknownTeams = HashSet<JobId>()
-    private var capacities: Map<String, Room> = emptyMap()
+    private var flavors: Map<String, Flavor> = emptyMap()
 
     // ---- taking over, and what other controllers write ----
 
@@ -193,8 +193,8 @@
     }
 
     fun setFlavors(all: List<Flavor>) {
-        capacities = all.associate { it.label to Room.of(it) }
-        for (machine in machines.values) machine.capacity = capacities[machine.type]
+        flavors = all.associateBy { it.label }
+        for (machine in machines.values) machine.flavor = flavors[machine.type]
     }
 
     // ---- reports ----
@@ -242,7 +242,7 @@
         if (machine.zone != report.zone) moveToZone(machine, report.zone)
         machine.type = report.type
         machine.spot = report.spot
-        machine.capacity = capacities[report.type]
+        if (machine.flavor?.label != report.type) machine.flavor = flavors[report.type]
         machine.mark = report.mark
     }
 
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -117,14 +117,19 @@
         if (within.isFinite() && (job.expectedTime > within || job.spec.image !in machine.images)) return false
         if (job.spec.shape == Shape.GANG && !mayGather(job, now)) return false
         if (!allowed(job, machine) || !withinLimit(job.room) || job.peek() == null) return false
-        // Fetches share the machine's rate or wait for one another: a slot that would wait for the second
-        // had better stay free for what need not. Urgent work is started wherever it can be.
-        if (machine.fetches > 0 && job.spec.image !in machine.images && job.spec.urgency > Urgency.HIGH && machine.keptFor !== job) return false
+        if (job.spec.image !in machine.images && isBusyFetching(machine, job)) return false
         // A fetch takes longer than the next machine that has the image takes to find room.
         if (now - job.waitingSince < HOLD && job.spec.image in images && job.spec.image !in machine.images) return false
         return machine.failures[job.spec.id].let { it == null || now - it.last >= AVOID }
     }
 
+    /**
+     * Long fetches share the machine's rate or wait for one another: a slot that would wait for the second
+     * had better stay free for what need not. Urgent work is started wherever it can be.
+     */
+    private fun isBusyFetching(machine: Machine, job: RunningJob): Boolean =
+        machine.fetches > 0 && job.spec.urgency > Urgency.HIGH && machine.keptFor !== job && machine.fetchSeconds(job.spec) >= LONG_FETCH
+
     /**
      * One gang at a time gathers slots, and none while tasks of its former attempt are still about:
      * they would have another attempt number.
@@ -145,6 +150,9 @@
         private val TIGHT = 20.seconds
         private val PASSED_OVER = 8.seconds
 
+        /** In seconds; a shorter fetch is over before the machine reports again. */
+        private const val LONG_FETCH = 4.0
+
         /** New work waits for a machine that has its image for this long. */
         private val HOLD = 1500.milliseconds
         private val ORDER = compareBy<RunningJob>({ it.spec.urgency }, { it.reachable }, { it.spec.id.value })
