Jobs may await others; the state service may lower its limits

A submission's awaits join the job's record; a job without is stored as before. Nothing of a job is placed before the recorded end of all that it needs is known to be done, as written by this owner or read by it. A job that needs a cancelled one is told as cancelled by every controller from the same confirmed read that shows the cancellation (Lineage); the owner writes its end later. Urgency and deadlines flow backwards (Pipelines). Sizes keep within the smaller of the limits now and in state.next; rates follow a 429; a batch rejected for its size is never sent again as it is. Progress cut by the former limit stays in the log until it fits, so both versions cut alike.

--- a/src/main/kotlin/umberslip/admission/Admission.kt
+++ b/src/main/kotlin/umberslip/admission/Admission.kt
@@ -8,8 +8,10 @@
 import kotlinx.coroutines.launch
 import umberslip.actor.Actor
 import umberslip.cloud.Flavor
+import umberslip.http.Documents
 import umberslip.http.NoAnswer
 import umberslip.http.Response
+import umberslip.http.Throttled
 import umberslip.http.Unavailable
 import umberslip.records.End
 import umberslip.records.EndRecord
@@ -17,7 +19,9 @@
 import umberslip.records.JobRecord
 import umberslip.records.JobSpec
 import umberslip.records.Keys
+import umberslip.records.Lineage
 import umberslip.records.Reader
+import umberslip.records.RecordView
 import umberslip.records.Shape
 import umberslip.records.Stamped
 import umberslip.settings.Settings
@@ -144,10 +148,13 @@
             return
         }
         answer(message.respond) {
-            if (objection != null) {
-                // What was accepted once is never refused later, whatever the machine types say now.
-                val known = status(spec.id)
-                if (known.status == 404) Response.error(422, objection) else known
+            // What was accepted once is never refused later, whatever the machine types say now, or it names.
+            val known = if (objection != null || spec.awaits.isNotEmpty()) status(spec.id).takeIf { it.status != 404 } else null
+            val refusal = if (known == null) objection?.let { Response.error(422, it) } ?: refusal(spec) else null
+            if (known != null) {
+                known
+            } else if (refusal != null) {
+                refusal
             } else {
                 val creation = Creation(spec, wallClock(), CompletableDeferred())
                 queue.addLast(creation)
@@ -164,12 +171,33 @@
         }
     }
 
+    /** Why a job cannot be kept, or names what it can never wait for; null where nothing speaks against it. */
+    private suspend fun refusal(spec: JobSpec): Response? {
+        if (bytes(spec) > settings.stateLimits.valueBytes) return Response.error(400, "the job's description is too large")
+        if (spec.awaits.isEmpty()) return null
+        val records = reader.confirm() ?: return undecided()
+        for (id in spec.awaits) {
+            if (id == spec.id) return Response.error(422, "awaits itself")
+            val needed = records.job(id)?.value
+            if (needed == null && end(id) == null) return Response.error(422, "awaits ${id.value}, which was never accepted")
+            if (needed?.spec?.shape == Shape.DAEMON) return Response.error(422, "awaits ${id.value}, which is never done")
+        }
+        return null
+    }
+
+    private fun bytes(spec: JobSpec): Int = Documents.jsonSize(JobRecord(spec, wallClock(), false).toMap())
+
     /** Writes as many waiting jobs as one transaction takes. */
     private fun create() {
         if (creating || queue.isEmpty()) return
         creating = true
         val group = ArrayList<Creation>()
-        while (group.size < settings.stateLimits.txnOps && queue.isNotEmpty()) group += queue.removeFirst()
+        var size = 0
+        while (group.size < settings.stateLimits.txnOps && queue.isNotEmpty()) {
+            size += bytes(queue.first().spec) + GUARD_BYTES
+            if (group.isNotEmpty() && size > MAX_TXN_BYTES) break
+            group += queue.removeFirst()
+        }
         scope.launch {
             try {
                 write(group)
@@ -191,6 +219,7 @@
                     left.map { Write.Put(Keys.job(it.spec.id), JobRecord(it.spec, it.submitted, false).toMap()) },
                 )
             } catch (e: Unavailable) {
+                if (e is Throttled) writes.lower()
                 log.debug("not accepted: {}", e.message)
                 return
             } catch (e: NoAnswer) {
@@ -211,6 +240,10 @@
                     left = rest
                 }
                 TxnResult.NoHold -> return
+                is TxnResult.Rejected -> {
+                    log.error("{} submissions are too large or malformed together: {}", left.size, result.why)
+                    return
+                }
             }
         }
     }
@@ -226,12 +259,34 @@
         }
         // Told here while this question's read was on its way.
         ends.getIfPresent(id)?.let { return told(200, id, it) }
-        if (job.cancelled) return told(200, id, EndRecord(End.CANCELLED, job.spec.pieces))
+        if (job.cancelled || isCalledOff(job, records)) return told(200, id, cancelled(job))
         val (done, running) = records.progress(id)
         val word = if (running > 0) "running" else "queued"
         return Response(200, mapOf("uid" to id.value, "status" to word, "done" to done, "running" to running))
     }
 
+    /**
+     * A job that needs a cancelled one is cancelled with it, from the moment that this was told and without
+     * a record of its own; the owner writes its end later.
+     */
+    private suspend fun isCalledOff(job: JobRecord, records: RecordView): Boolean {
+        if (job.spec.awaits.isEmpty()) return false
+        val unknown = HashSet<JobId>()
+        while (true) {
+            val lineage = Lineage.of(job, { records.job(it)?.value }) { if (it in unknown) End.DONE else ends.getIfPresent(it)?.end }
+            when (lineage) {
+                Lineage.CalledOff -> {
+                    ends.put(job.spec.id, cancelled(job))
+                    return true
+                }
+                Lineage.Open -> return false
+                is Lineage.Unread -> for (id in lineage.ids) if (end(id) == null) unknown += id
+            }
+        }
+    }
+
+    private fun cancelled(job: JobRecord) = EndRecord(End.CANCELLED, job.spec.pieces)
+
     private suspend fun end(id: JobId): EndRecord? {
         val entry = state.get(Keys.end(id)) ?: return null
         return EndRecord.parse(entry.data).also { ends.put(id, it) }
@@ -246,8 +301,8 @@
                 val end = end(id) ?: return Response.error(404, "no such job")
                 return told(200, id, end)
             }
-            val end = EndRecord(End.CANCELLED, job.value.spec.pieces)
-            if (job.value.cancelled) return told(200, id, end)
+            val end = cancelled(job.value)
+            if (job.value.cancelled || isCalledOff(job.value, records)) return told(200, id, end)
             // Whichever of done and cancelled is written first is final: both create the end's record.
             writes.take(2, urgent = true)
             val result = state.txn(
@@ -277,5 +332,9 @@
     private companion object {
         const val MAX_OPEN = 400
         const val MAX_QUEUE = 100
+        const val MAX_TXN_BYTES = 50_000
+
+        /** The two guards of a submission. */
+        const val GUARD_BYTES = 150
     }
 }
--- a/src/main/kotlin/umberslip/daemon/Controller.kt
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -65,10 +65,10 @@
     private val authority = Authority(timings)
     private val reader: Reader = Reader(scope, state, clock, ::recordsChanged)
     private val admission = Admission(
-        scope, settings, state, Pacer(settings.stateLimits.writeRps * ACCEPT_SHARE, clock), reader, wallClock, ::announce, ::ready, metrics,
+        scope, settings, state, writes(ACCEPT_SHARE), reader, wallClock, ::announce, ::ready, metrics,
     )
     private val owner = Owner(
-        scope, settings, tuning, timings, state, Pacer(settings.stateLimits.writeRps * OWNER_SHARE, clock), clock, wallClock, authority,
+        scope, settings, tuning, timings, state, writes(OWNER_SHARE), clock, wallClock, authority,
         { reader.tell(ReaderMessage.Nudge) }, sight, metrics,
     )
     private val fleet = Fleet(scope, settings, tuning, cloud, state, authority, owner, clock, wallClock) {
@@ -95,6 +95,8 @@
     private val relay = Relay()
     private var noteStamp: Stamp? = null
 
+    private fun writes(share: Double) = Pacer(settings.stateLimits.writeRps * share, clock, settings.stateLimits.nextWriteRps * share)
+
     /** Whom workers are sent to, as the records last showed. */
     private var ownerMember: String? = null
 
--- a/src/main/kotlin/umberslip/daemon/Daemon.kt
+++ b/src/main/kotlin/umberslip/daemon/Daemon.kt
@@ -34,7 +34,7 @@
     private val origin = TimeSource.Monotonic.markNow()
     private val clock = Clock { origin.elapsedNow() }
     private val state = HttpStateService(
-        HttpClient(group, settings.state, MAX_BODY), Pacer(settings.stateLimits.rps / settings.nodes, clock),
+        HttpClient(group, settings.state, MAX_BODY), Pacer(settings.stateLimits.rps / settings.nodes, clock, settings.stateLimits.nextRps / settings.nodes),
     )
     private val cloud = HttpCloud(HttpClient(group, settings.cloud, MAX_BODY), Pacer(settings.cloudRps * CLOUD_SHARE, clock))
     private val peers: Peers = Peers(scope, group, settings.member, settings.known, clock, { controller.news() }, { controller.served() })
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -16,6 +16,7 @@
 import umberslip.cloud.Flavor
 import umberslip.cloud.HostName
 import umberslip.records.ChunkRecord
+import umberslip.records.End
 import umberslip.records.JobId
 import umberslip.records.JobRecord
 import umberslip.records.JobSpec
@@ -62,8 +63,9 @@
     private val wallClock: () -> Instant,
 ) {
     private val log = LoggerFactory.getLogger("umberslip.dispatch")
-    private val perChunk = ChunkRecord.tasksPerChunk(settings.stateLimits.valueBytes)
+    private val perChunk = ChunkRecord.tasksPerChunk(settings.stateLimits.chunkBytes)
     val jobs = LinkedHashMap<JobId, RunningJob>()
+    val pipelines = Pipelines(jobs)
     val machines = LinkedHashMap<HostName, Machine>()
 
     /** Images that some machine has. */
@@ -144,7 +146,10 @@
         if (known != null) {
             if (record.stamp.value <= known.record.stamp.value) return
             known.record = record
-            if (known.cancelled) withdrawUnrecorded(known)
+            if (known.cancelled) {
+                withdrawUnrecorded(known)
+                pipelines.calledOffWith(known).forEach(::changed)
+            }
             changed(known)
             return
         }
@@ -154,14 +159,29 @@
             return
         }
         val age = (wallClock().toEpochMilli() - record.value.submitted.toEpochMilli()).milliseconds
-        val job = RunningJob(record.value.spec, record, perChunk, now - age, targets(record.value.spec).map { now - age + it })
+        val spec = record.value.spec
+        val job = RunningJob(spec, record, perChunk, now - age, targets(spec, now - age, now - age), deadlines(spec, now - age))
         job.gatherBound = settings.workers.gangWait
         job.lastPlaced = now
         job.waitingSince = now
         jobs[id] = job
+        pipelines.came(job).forEach(::changed)
         changed(job)
     }
 
+    /** How a job that others need ended, as its record says. */
+    fun ended(id: JobId, end: End, now: Duration) {
+        for (job in pipelines.ended(id, end)) {
+            if (!job.held) job.ready(targets(job.spec, job.submittedAt, now), now)
+            changed(job)
+        }
+    }
+
+    /** What jobs take over from those that need them may have changed. */
+    fun rerank(now: Duration) {
+        for ((job, rank) in pipelines.rerank()) teams[job.spec.team]?.reposition(job) { job.rank(rank.urgency, rank.deadlines, now) }
+    }
+
     /** Whether it has anything to place, or is over, may have changed. */
     private fun changed(job: RunningJob) {
         if (jobs[job.spec.id] !== job) return
@@ -178,18 +198,26 @@
         jobs[id]?.let { remove(it) }
     }
 
-    /** By when after its submission a job should be done: what the aims say of its class, or its own deadline. */
-    private fun targets(spec: JobSpec): List<Duration> {
+    /**
+     * By when a job should be done: what the aims say of its class, from when on it could run, and its own
+     * deadline, which counts from its submission however long it waited for others.
+     */
+    private fun targets(spec: JobSpec, submitted: Duration, ready: Duration): List<Duration> {
         val named = settings.objectives.mapNotNull {
             when (it) {
-                is Objective.Finished -> it.within.takeIf { _ -> it.jobClass == spec.jobClass }
-                is Objective.Deadline -> spec.dueSeconds?.takeIf { _ -> it.jobClass == spec.jobClass }?.let { due -> (due * it.times).seconds }
+                is Objective.Finished -> (ready + it.within).takeIf { _ -> it.jobClass == spec.jobClass }
                 // A task that starts in time is done in time if it runs as long as expected.
-                is Objective.Started -> (it.within + spec.expectedSeconds.seconds).takeIf { _ -> it.jobClass == spec.jobClass }
-                is Objective.Guarantee -> null
+                is Objective.Started -> (ready + it.within + spec.expectedSeconds.seconds).takeIf { _ -> it.jobClass == spec.jobClass }
+                is Objective.Deadline, is Objective.Guarantee -> null
             }
-        }
-        return named.ifEmpty { listOf(spec.dueSeconds?.seconds ?: NO_DUE) }.sorted()
+        } + deadlines(spec, submitted).filter { _ -> settings.objectives.any { it is Objective.Deadline && it.jobClass == spec.jobClass } }
+        return named.ifEmpty { deadlines(spec, submitted) }.ifEmpty { listOf(ready + NO_DUE) }.sorted()
+    }
+
+    private fun deadlines(spec: JobSpec, submitted: Duration): List<Duration> {
+        val due = spec.dueSeconds ?: return emptyList()
+        val times = settings.objectives.mapNotNull { o -> (o as? Objective.Deadline)?.takeIf { it.jobClass == spec.jobClass }?.times }
+        return times.ifEmpty { listOf(1.0) }.map { submitted + (due * it).seconds }
     }
 
     fun setFlavors(all: List<Flavor>) {
@@ -528,7 +556,10 @@
         batch.condemned?.forEach { host ->
             machines[host]?.let { if (host in ledger.toCondemn && it.condemnedAt == null) it.condemnedAt = now }
         }
-        batch.over.forEach(::remove)
+        for ((job, end) in batch.over) {
+            remove(job)
+            ended(job.spec.id, end, now)
+        }
         return touched
     }
 
@@ -554,6 +585,7 @@
         teams[job.spec.team]?.remove(job)
         elders.remove(job)
         ledger.remove(job)
+        pipelines.gone(job)
     }
 
     private companion object {
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -45,6 +45,13 @@
         if (queue.remove(job)) least = null
     }
 
+    /** Its place in the queue goes by what [change] changes. */
+    fun reposition(job: RunningJob, change: () -> Unit) {
+        val queued = queue.remove(job)
+        change()
+        if (queued) queue.add(job)
+    }
+
     /** As time passes, targets move out of reach. */
     fun reorder(now: Duration) {
         for (job in queue.filter { it.reachable != it.reachableAt(now) }) {
@@ -101,7 +108,7 @@
         if (!free.covers(least)) return null
         var first: RunningJob? = null
         for (job in queue) {
-            if (first != null && job.spec.urgency != first.spec.urgency) break
+            if (first != null && job.urgency != first.urgency) break
             considered++
             if (first != null && job.spec.image !in machine.images) continue
             if (!mayPlace(job, machine, free, now, within)) continue
@@ -134,7 +141,7 @@
      * had better stay free for what need not. Urgent work is started wherever it can be.
      */
     private fun isBusyFetching(machine: Machine, job: RunningJob): Boolean =
-        machine.fetches > 0 && job.spec.urgency > Urgency.HIGH && machine.keptFor !== job && machine.fetchSeconds(job.spec) >= LONG_FETCH
+        machine.fetches > 0 && job.urgency > Urgency.HIGH && machine.keptFor !== job && machine.fetchSeconds(job.spec) >= LONG_FETCH
 
     /**
      * One gang at a time gathers slots, and none while tasks of its former attempt are still about:
@@ -164,7 +171,7 @@
 
         /** New work waits for a machine that has its image for this long. */
         private val HOLD = 1500.milliseconds
-        private val ORDER = compareBy<RunningJob>({ it.spec.urgency }, { it.reachable }, { it.spec.id.value })
+        private val ORDER = compareBy<RunningJob>({ it.urgency }, { it.reachable }, { it.spec.id.value })
 
         /** Whether a job's task may be on a machine at all, and given where the job's other tasks are. */
         fun allowed(job: RunningJob, machine: Machine): Boolean {
@@ -236,8 +243,8 @@
     fun next(candidates: Map<Dispatcher, RunningJob>): Dispatcher? {
         if (candidates.isEmpty()) return null
         val owed = candidates.filter { (team, job) -> team.withinGuarantee(job.room) }.keys
-        val urgent = candidates.values.minOf { it.spec.urgency }
-        val among = owed.ifEmpty { candidates.filter { (_, job) -> job.spec.urgency == urgent }.keys }
+        val urgent = candidates.values.minOf { it.urgency }
+        val among = owed.ifEmpty { candidates.filter { (_, job) -> job.urgency == urgent }.keys }
         val chosen = among.maxWith(compareBy<Dispatcher> { it.credit + it.weight / total(among) * cost(candidates, it) }.thenBy { it.team.name })
         val cost = cost(candidates, chosen)
         for (team in among) team.credit += team.weight / total(among) * cost
--- a/src/main/kotlin/umberslip/dispatch/Ledger.kt
+++ b/src/main/kotlin/umberslip/dispatch/Ledger.kt
@@ -64,7 +64,7 @@
     val chunks: List<Pair<Chunk, Long>>,
     val starts: List<Assignment>,
     val ends: List<Ending>,
-    val over: List<RunningJob>,
+    val over: List<Pair<RunningJob, End>>,
     val trash: List<String>,
     val logged: List<Pair<Int, List<Pair<Chunk, Long>>>>,
     val condemned: Set<HostName>?,
@@ -78,6 +78,9 @@
 class Ledger(private val limits: StateSettings, private var ownerStamp: Stamp, firstSeq: Long) {
     private val slots = List(LOG_SLOTS, ::LogSlot)
 
+    /** Of what the limits allow, how much is used; less once the state service has rejected a batch for its size. */
+    private var share = 1.0
+
     /** Rises with every logged entry, across terms too. */
     private var seq = firstSeq
 
@@ -170,15 +173,16 @@
     }
 
     /** The next writes, most needed first; null where none is due. */
-    fun nextBatch(maxOps: Int, machines: Set<HostName>, now: Duration): Batch? = Composer(maxOps, now).compose(machines)
+    fun nextBatch(maxOps: Int, machines: Set<HostName>, now: Duration): Batch? =
+        Composer((maxOps * share).toInt().coerceAtLeast(MIN_OPS), (limits.valueBytes * share).toInt(), now).compose(machines)
 
-    private inner class Composer(private val maxOps: Int, private val now: Duration) {
+    private inner class Composer(private val maxOps: Int, private val valueBytes: Int, private val now: Duration) {
         private val writes = ArrayList<Write>()
         private val guards = ArrayList<Guard>()
         private val chunks = ArrayList<Pair<Chunk, Long>>()
         private val included = ArrayList<Assignment>()
         private val endings = ArrayList<Ending>()
-        private val ended = ArrayList<RunningJob>()
+        private val ended = ArrayList<Pair<RunningJob, End>>()
         private val trashed = ArrayList<String>()
         private val logged = ArrayList<Pair<Int, List<Pair<Chunk, Long>>>>()
         private var size = 0
@@ -187,7 +191,7 @@
         fun compose(machines: Set<HostName>): Batch? {
             toCondemn.retainAll(machines)
             var condemn: Set<HostName>? = null
-            val fitting = HostsRecord.fitting(toCondemn, limits.valueBytes)
+            val fitting = HostsRecord.fitting(toCondemn, valueBytes)
             if (fitting != condemned) {
                 condemn = fitting
                 writes += Write.Put(Keys.CONDEMNED, HostsRecord(fitting).toMap())
@@ -213,16 +217,19 @@
         }
 
         private fun jobsOver() {
+            // Where few writes fit, what is over is not to keep starts waiting.
+            val most = if (starts.isEmpty()) maxOps else maxOf(2, maxOps / 2)
             for (job in over) {
-                if (writes.size + 2 > maxOps || guards.size + 3 > maxOps * GUARDS_PER_WRITE) break
+                if (writes.size + 2 > most || guards.size + 3 > maxOps * GUARDS_PER_WRITE) break
                 val key = Keys.job(job.spec.id)
+                val end = if (job.cancelled || job.calledOff) End.CANCELLED else End.DONE
                 guards += Guard(key, job.record.stamp)
                 if (!job.cancelled) {
-                    writes += Write.Put(Keys.end(job.spec.id), EndRecord(End.DONE, job.spec.pieces).toMap())
+                    writes += Write.Put(Keys.end(job.spec.id), EndRecord(end, job.spec.pieces).toMap())
                     guards += Guard(Keys.end(job.spec.id), Stamp.NONE)
                 }
                 writes += Write.Drop(key)
-                ended += job
+                ended += job to end
             }
         }
 
@@ -235,7 +242,7 @@
             val openEnds = ArrayDeque(ends.filter { !it.job.over })
             while (openStarts.isNotEmpty() || openEnds.isNotEmpty()) {
                 if (!free.hasNext()) return false
-                if (writes.size >= maxOps || size + limits.valueBytes > MAX_TXN_BYTES) break
+                if (writes.size >= maxOps || size + valueBytes > MAX_TXN_BYTES) break
                 if (!write(free.next(), openStarts, openEnds)) break
             }
             return true
@@ -257,7 +264,7 @@
 
             fun fits(job: RunningJob, more: Int): Boolean {
                 val need = more + if (job.spec.id in rows) 0 else LogRecord.bytes(job.spec.id)
-                if (named.isNotEmpty() && bytes + need > limits.valueBytes) return false
+                if (named.isNotEmpty() && bytes + need > valueBytes) return false
                 bytes += need
                 return true
             }
@@ -289,7 +296,10 @@
 
         private fun add(chunk: Chunk) {
             val record = chunk.job.chunkRecord(chunk, seq)
-            size += CHUNK_BYTES + record.placed.size * PLACEMENT_BYTES
+            val bytes = record.bytes
+            // Cut by a former, larger limit: it stays in the log, and fits once more of its tasks are done.
+            if (bytes > valueBytes) return
+            size += bytes
             writes += Write.Put(chunk.key, record.toMap())
             guards += Guard(chunk.key, chunk.stamp)
             chunks += chunk to chunk.version
@@ -340,6 +350,12 @@
         trash.addAll(batch.trash)
     }
 
+    /** Not carried out, and not to be tried again as it is: from now on less goes into one. */
+    fun rejected(batch: Batch) {
+        notApplied(batch)
+        share = (share / 2).coerceAtLeast(LEAST_SHARE)
+    }
+
     /** What the state service shows of a key whose guard failed, or whose write's fate is unknown. */
     fun settle(key: String, stamp: Stamp?) {
         val slot = Keys.asLog(key)
@@ -354,13 +370,15 @@
 
     private companion object {
         const val MAX_TXN_BYTES = 50_000
+        const val LEAST_SHARE = 0.125
+
+        /** The end of a job takes two. */
+        const val MIN_OPS = 2
         const val GUARDS_PER_WRITE = 4
 
         /** Besides one for each write: the owner's record, and the job that is being looked at. */
         const val OTHER_GUARDS = 2
         const val GUARD_BYTES = 24
-        const val CHUNK_BYTES = 250
-        const val PLACEMENT_BYTES = 40
         val UNKNOWN_HOST = HostName("")
 
         /** An entry costs nothing while it lies there, but a new owner reads them all. */
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -16,9 +16,13 @@
 import umberslip.fleet.FleetView
 import umberslip.http.NoAnswer
 import umberslip.http.Response
+import umberslip.http.Throttled
 import umberslip.http.Unavailable
 import umberslip.ownership.Authority
 import umberslip.peers.Sight
+import umberslip.records.End
+import umberslip.records.EndRecord
+import umberslip.records.JobId
 import umberslip.records.Keys
 import umberslip.records.OwnerRecord
 import umberslip.records.RecordEvent
@@ -45,6 +49,9 @@
     class Flavors(val all: List<Flavor>) : OwnerMessage
     class Written(val batch: Batch, val outcome: TxnResult?) : OwnerMessage
     class Deal(val host: HostName, val mark: Mark) : OwnerMessage
+
+    /** How a job ended that others need; null where that could not be read. */
+    class EndRead(val board: Board, val id: JobId, val end: End?) : OwnerMessage
     data object Tick : OwnerMessage
     data object Flush : OwnerMessage
 
@@ -83,6 +90,9 @@
 
     /** Workers sent to ask around, while nobody can say whether there is another owner. */
     private val sentAway = HashSet<HostName>()
+
+    /** When the ends of needed jobs were last asked for. */
+    private val askedEnds = HashMap<JobId, Duration>()
     private var writing = false
     private var flushTimer: Job? = null
     private var flushedAt = Duration.ZERO
@@ -117,6 +127,7 @@
             }
             is OwnerMessage.Written -> written(message, now)
             is OwnerMessage.Deal -> dealOn(message, now)
+            is OwnerMessage.EndRead -> if (message.board === board && message.end != null) message.board.ended(message.id, message.end, now)
             OwnerMessage.Tick -> tick(now)
             OwnerMessage.Flush -> flush(now)
             is OwnerMessage.View -> {
@@ -149,6 +160,8 @@
         fresh.setFlavors(flavors)
         fresh.load(message.records, now, message.silentUntil)
         board = fresh
+        askedEnds.clear()
+        readEnds(fresh, now)
         upkeep = Upkeep(fresh, settings, timings)
         log.info("owner under term {}: {} jobs, {} machines with recorded tasks", term.value, fresh.jobs.size, fresh.machines.size)
     }
@@ -170,6 +183,29 @@
                 is RecordEvent.OwnerChanged -> Unit
             }
         }
+        readEnds(board, now)
+        board.rerank(now)
+    }
+
+    /** Ends of needed jobs that are not among the unfinished ones are read one by one; they never change. */
+    private fun readEnds(board: Board, now: Duration) {
+        if (board.pipelines.unread.isEmpty()) {
+            askedEnds.clear()
+            return
+        }
+        for (id in board.pipelines.unread.filter { now - (askedEnds[it] ?: -ASK_AGAIN) >= ASK_AGAIN }.take(MAX_ASKED)) {
+            askedEnds[id] = now
+            scope.launch {
+                val end = try {
+                    state.get(Keys.end(id))?.let { EndRecord.parse(it.data).end }
+                } catch (e: Unavailable) {
+                    null
+                } catch (e: NoAnswer) {
+                    null
+                }
+                post(OwnerMessage.EndRead(board, id, end))
+            }
+        }
     }
 
     // ---- reports ----
@@ -249,6 +285,7 @@
             it.tick(now)
             if (it.isUnheard(now) && sight() == Sight.SERVED) authority.unheard(now)
         }
+        readEnds(board, now)
         for ((name, waiter) in waiting.entries.toList()) {
             if (waiter.until <= now) board.machines[name]?.let { answer(board, it, now) }
         }
@@ -280,6 +317,7 @@
                     }
                 }
             } catch (e: Unavailable) {
+                if (e is Throttled) writes.lower()
                 log.debug("a batch was not taken: {}", e.message)
                 delay(RETRY)
                 null
@@ -319,6 +357,10 @@
                     return
                 }
             }
+            is TxnResult.Rejected -> {
+                log.error("a batch of {} writes is too large or malformed: {}", message.batch.writes.size, outcome.why)
+                board.ledger.rejected(message.batch)
+            }
             else -> board.ledger.notApplied(message.batch)
         }
         flush(clock.now())
@@ -344,7 +386,7 @@
                         authority.lost("its record is not ours any more")
                         return false
                     }
-                    TxnResult.NoHold -> {
+                    TxnResult.NoHold, is TxnResult.Rejected -> {
                         authority.lost("its hold has ended")
                         return false
                     }
@@ -393,6 +435,8 @@
         val RETRY = 200.milliseconds
         val REPLY_WITHIN = 1200.milliseconds
         const val MIN_OPS = 3
+        val ASK_AGAIN = 2.seconds
+        const val MAX_ASKED = 10
         val GATHER = 75.milliseconds
         val REFUSED = Response.later(1, "not the owner, or an old report")
     }
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -4,6 +4,7 @@
 import umberslip.agents.Room
 import umberslip.cloud.HostName
 import umberslip.records.ChunkRecord
+import umberslip.records.JobId
 import umberslip.records.JobRecord
 import umberslip.records.JobSpec
 import umberslip.records.Keys
@@ -11,6 +12,7 @@
 import umberslip.records.Shape
 import umberslip.records.Stamped
 import umberslip.records.TaskId
+import umberslip.records.Urgency
 import umberslip.state.Stamp
 import java.util.BitSet
 import java.util.TreeSet
@@ -54,14 +56,59 @@
     var record: Stamped<JobRecord>,
     val perChunk: Int,
     /** When its user first handed it in. */
-    val cameAt: Duration,
+    val submittedAt: Duration,
     /** The times by which its users want it done, the earliest first; at least one. */
-    val targets: List<Duration>,
+    targets: List<Duration>,
+    /** Those of them that its own deadline sets; they hold for the jobs that it needs, too. */
+    val deadlines: List<Duration> = emptyList(),
 ) {
-    val due: Duration = targets.first()
+    /** Needed jobs whose recorded end is not known to be done; nothing is placed while there are any. */
+    val pending = HashSet<JobId>()
+
+    /** A job that it needs is cancelled, so it can never be done. */
+    var calledOff = false
+
+    val held: Boolean get() = calledOff || pending.isNotEmpty()
+
+    /** From when on it could run: it was handed in, or the last job that it needs was done. */
+    var cameAt: Duration = submittedAt
+        private set
+    private var own = targets
+    private var inherited = emptyList<Duration>()
+
+    /** Its own targets and those that it has for the sake of jobs that need it. */
+    var targets: List<Duration> = targets
+        private set
+    val due: Duration get() = targets.first()
 
     /** The next target that it can still meet; its place in the queue goes by it. */
     var reachable: Duration = due
+
+    /** The highest of its own and of any unfinished job that needs it. */
+    var urgency: Urgency = spec.urgency
+        private set
+
+    /** The last job that it needs is done: what its users wait for counts from now on. */
+    fun ready(own: List<Duration>, now: Duration) {
+        cameAt = now
+        lastPlaced = now
+        waitingSince = now
+        this.own = own
+        retarget(now)
+    }
+
+    /** For the sake of jobs that need it. */
+    fun rank(urgency: Urgency, inherited: List<Duration>, now: Duration) {
+        this.urgency = urgency
+        this.inherited = inherited
+        retarget(now)
+    }
+
+    private fun retarget(now: Duration) {
+        targets = (own + inherited).sorted()
+        reachable = reachableAt(now)
+    }
+
     val room = Room(spec.cpus, spec.gpus, spec.memoryGb)
     private val done = BitSet()
     var doneCount = 0
@@ -76,10 +123,10 @@
 
     val cancelled: Boolean get() = record.value.cancelled
     val finished: Boolean get() = doneCount == spec.pieces
-    val waiting: Int get() = if (cancelled) 0 else spec.pieces - doneCount - assigned.size
+    val waiting: Int get() = if (cancelled || held) 0 else spec.pieces - doneCount - assigned.size
 
     /** Nothing of it runs or will run. */
-    val over: Boolean get() = if (cancelled) assigned.isEmpty() else finished
+    val over: Boolean get() = if (cancelled || calledOff) assigned.isEmpty() else finished
 
     fun isDone(index: Int): Boolean = done.get(index)
 
@@ -130,7 +177,7 @@
 
     /** The next task to place, without taking it; null where none waits. */
     fun peek(): Int? {
-        if (cancelled) return null
+        if (cancelled || held) return null
         returned.firstOrNull()?.let { return it }
         while (fresh < spec.pieces && (done.get(fresh) || assigned.containsKey(fresh))) fresh++
         return if (fresh < spec.pieces) fresh else null
--- a/src/main/kotlin/umberslip/dispatch/Upkeep.kt
+++ b/src/main/kotlin/umberslip/dispatch/Upkeep.kt
@@ -22,6 +22,7 @@
             drain(machine, now)
             board.judge(machine)
         }
+        board.rerank(now)
         for (job in board.gathering()) board.gatherInTime(job, now)
         for (team in board.teams.values) keepMachine(team, now)
         if (preemptedAt?.let { now - it < PREEMPT_EVERY } != true) {
@@ -135,11 +136,11 @@
     private fun preempt(now: Duration) {
         val needy = board.teams.values.flatMap { team -> team.waiting.filter { it.notBefore <= now && now - it.waitingSince > PATIENCE }.map { team to it } }
             .filter { (_, job) -> job.spec.shape == Shape.ARRAY }
-            .sortedWith(compareBy({ (team, job) -> !team.withinGuarantee(job.room) }, { (_, job) -> job.spec.urgency }, { (_, job) -> job.due }))
+            .sortedWith(compareBy({ (team, job) -> !team.withinGuarantee(job.room) }, { (_, job) -> job.urgency }, { (_, job) -> job.due }))
         if (needy.isEmpty()) return
         // The order of giving way is one of jobs, so their many tasks need not be sorted.
         val saving = board.jobs.values.filter { it.spec.checkpointSeconds > 0 && it.spec.shape == Shape.ARRAY && it.assigned.isNotEmpty() }
-            .sortedWith(compareBy({ -it.spec.urgency.ordinal }, { -it.due.inWholeMilliseconds }))
+            .sortedWith(compareBy({ -it.urgency.ordinal }, { -it.due.inWholeMilliseconds }))
         // What is being stopped already makes room for the first in need.
         var coming = saving.sumOf { job -> job.assigned.values.sumOf { if (it.windDown != null) it.room.cpus else 0.0 } }
         val up = board.machines.values.filter { it.usable }
@@ -149,12 +150,12 @@
             val owed = team.withinGuarantee(job.room)
             fun mayGo(other: RunningJob): Boolean {
                 val its = board.teams[other.spec.team]
-                return other.spec.urgency > job.spec.urgency || (owed && its != null && its !== team && its.usedCpus > its.team.cpus)
+                return other.urgency > job.urgency || (owed && its != null && its !== team && its.usedCpus > its.team.cpus)
             }
             if (saving.none(::mayGo)) continue
             var need = job.waiting * job.room.cpus
             team.team.cpusMax?.let { need = minOf(need, it - team.usedCpus) }
-            if (owed && job.spec.urgency == Urgency.IDLE) need = minOf(need, team.team.cpus - team.usedCpus)
+            if (owed && job.urgency == Urgency.IDLE) need = minOf(need, team.team.cpus - team.usedCpus)
             need -= up.sumOf { m -> if (Dispatcher.allowed(job, m)) (m.free()?.times(job.room) ?: 0) * job.room.cpus else 0.0 }
             val covered = minOf(coming, need.coerceAtLeast(0.0))
             coming -= covered
--- a/src/main/kotlin/umberslip/http/HttpClient.kt
+++ b/src/main/kotlin/umberslip/http/HttpClient.kt
@@ -25,7 +25,10 @@
 import kotlin.time.Duration
 
 /** The request was certainly not carried out: refused, or never sent. */
-class Unavailable(message: String) : Exception(message)
+open class Unavailable(message: String) : Exception(message)
+
+/** Refused for coming too fast. */
+class Throttled(message: String) : Unavailable(message)
 
 /** No answer came: the request may have been carried out, or may yet be. */
 class NoAnswer(message: String) : Exception(message)
--- a/src/main/kotlin/umberslip/records/JobSpec.kt
+++ b/src/main/kotlin/umberslip/records/JobSpec.kt
@@ -71,6 +71,8 @@
     val checkpointSeconds: Double,
     val savingSeconds: Double,
     val dueSeconds: Double?,
+    /** Jobs that have to be done before any task of this one starts. */
+    val awaits: List<JobId> = emptyList(),
 ) {
     val maxPerZone: Int get() = if (spread) (pieces + 1) / 2 else Int.MAX_VALUE
 
@@ -80,7 +82,7 @@
         "image_gb" to imageGb, "hosttypes" to types, "hall" to zone, "one_zone" to oneZone, "spread" to spread,
         "reclaimable" to spot, "expected_s" to expectedSeconds, "savepoint_s" to checkpointSeconds,
         "saving_s" to savingSeconds, "due_s" to dueSeconds,
-    )
+    ) + if (awaits.isEmpty()) emptyMap() else mapOf("awaits" to awaits.map { it.value })
 
     companion object {
         const val MAX_PIECES = 100_000L
@@ -121,6 +123,7 @@
                 checkpointSeconds = amount("savepoint_s"),
                 savingSeconds = amount("saving_s"),
                 dueSeconds = if (f.has("due_s")) amount("due_s") else null,
+                awaits = f.textsOrNull("awaits").orEmpty().map { JobId.parse(it) ?: throw Malformed("awaits names what is not a job id") }.distinct(),
             )
         }
     }
--- /dev/null
+++ b/src/main/kotlin/umberslip/records/Lineage.kt
@@ -0,0 +1,40 @@
+package umberslip.records
+
+/**
+ * Whether a job can never be done, since one that it needs, directly or through others, is cancelled.
+ * That needs no record of its own: it follows from the one end that was written, so every controller
+ * tells the same from the moment that the cancellation was told. Pure.
+ */
+sealed interface Lineage {
+    data object CalledOff : Lineage
+
+    data object Open : Lineage
+
+    /** Not known before the ends of these have been read. */
+    data class Unread(val ids: Set<JobId>) : Lineage
+
+    companion object {
+        /** [record] finds unfinished jobs, [end] how others ended, where that is known. */
+        fun of(job: JobRecord, record: (JobId) -> JobRecord?, end: (JobId) -> End?): Lineage {
+            val seen = HashSet<JobId>()
+            val unread = LinkedHashSet<JobId>()
+            val open = ArrayDeque(job.spec.awaits)
+            while (open.isNotEmpty()) {
+                val id = open.removeLast()
+                if (!seen.add(id)) continue
+                val needed = record(id)
+                if (needed != null) {
+                    if (needed.cancelled) return CalledOff
+                    open += needed.spec.awaits
+                } else {
+                    when (end(id)) {
+                        End.CANCELLED -> return CalledOff
+                        End.DONE -> Unit
+                        null -> unread += id
+                    }
+                }
+            }
+            return if (unread.isEmpty()) Open else Unread(unread)
+        }
+    }
+}
--- a/src/main/kotlin/umberslip/records/Records.kt
+++ b/src/main/kotlin/umberslip/records/Records.kt
@@ -91,6 +91,9 @@
  * number ever used there, so that numbers only rise. Starts logged up to [seq] are in it already.
  */
 data class ChunkRecord(val done: BitSet, val placed: List<Placement>, val lastAttempt: Long, val seq: Long) {
+    /** No less than what it takes of a value. */
+    val bytes: Int get() = FIXED_BYTES / 2 + done.length() / 4 + 2 + placed.sumOf(LogRecord::bytes) + placed.size * 2
+
     fun toMap(): Map<String, Any?> = mapOf(
         "seq" to seq,
         "done" to hex(done),
--- a/src/main/kotlin/umberslip/settings/Settings.kt
+++ b/src/main/kotlin/umberslip/settings/Settings.kt
@@ -38,7 +38,20 @@
     val cancel: Duration,
 )
 
-data class StateSettings(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
+/**
+ * The state service's limits. It may lower them without notice to what `state.next` names: sizes keep
+ * within the smaller of both from the start, rates follow once the service says so.
+ */
+data class StateSettings(
+    val rps: Double,
+    val writeRps: Double,
+    val valueBytes: Int,
+    val txnOps: Int,
+    val nextRps: Double = rps,
+    val nextWriteRps: Double = writeRps,
+    /** What a job's progress is cut by; every version must cut alike, so it goes by the first limit for ever. */
+    val chunkBytes: Int = valueBytes,
+)
 
 /** The platform's settings file, checked. */
 data class Settings(
@@ -94,12 +107,7 @@
                     positive(workers, "gang_peer_s").seconds,
                     positive(workers, "cancel_s").seconds,
                 ),
-                stateLimits = StateSettings(
-                    positive(state, "rps"),
-                    positive(state, "write_rps"),
-                    (positive(state, "value_kb") * 1024).toInt(),
-                    positive(state, "txn_ops").toInt().also { if (it < 4) throw BadSettings("settings.state.txn_ops is below 4") },
-                ),
+                stateLimits = stateLimits(state),
                 cloudRps = positive(cloud, "rps"),
                 listLag = positive(cloud, "list_lag_s").seconds,
                 sockets = positive(s.map("quota"), "sockets").toInt().also {
@@ -109,6 +117,20 @@
             )
         }
 
+        private fun stateLimits(now: Fields): StateSettings {
+            val next = if (now.has("next")) now.map("next") else null
+            fun later(name: String): Double = if (next?.has(name) == true) minOf(positive(now, name), positive(next, name)) else positive(now, name)
+            return StateSettings(
+                rps = positive(now, "rps"),
+                writeRps = positive(now, "write_rps"),
+                valueBytes = (later("value_kb") * 1024).toInt(),
+                txnOps = later("txn_ops").toInt().also { if (it < 4) throw BadSettings("settings.state.txn_ops is below 4") },
+                nextRps = later("rps"),
+                nextWriteRps = later("write_rps"),
+                chunkBytes = (positive(now, "value_kb") * 1024).toInt(),
+            )
+        }
+
         private fun team(f: Fields): TeamSettings = TeamSettings(
             f.text("name"),
             notNegative(f, "cpus"),
--- a/src/main/kotlin/umberslip/state/StateService.kt
+++ b/src/main/kotlin/umberslip/state/StateService.kt
@@ -7,6 +7,7 @@
 import umberslip.http.Malformed
 import umberslip.http.NoAnswer
 import umberslip.http.Reply
+import umberslip.http.Throttled
 import umberslip.http.Unavailable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -53,6 +54,9 @@
 
     /** A put named a hold that has ended. */
     data object NoHold : TxnResult
+
+    /** Over a limit of size, or malformed: the same again would meet the same answer. */
+    data class Rejected(val why: String) : TxnResult
 }
 
 /**
@@ -74,7 +78,7 @@
 }
 
 /** Keeps to a rate per second with bursts of one second's worth; urgent takers may go into debt. */
-class Pacer(private val rate: Double, private val clock: Clock) {
+class Pacer(private var rate: Double, private val clock: Clock, private val lowered: Double = rate) {
     private var tokens = rate
     private var last = clock.now()
 
@@ -84,6 +88,14 @@
         if (tokens < 0 && !urgent) delay((-tokens / rate).seconds)
     }
 
+    /** The service allows no more than its later limit: it does not go back to the former. */
+    fun lower() {
+        if (lowered >= rate) return
+        refill()
+        rate = lowered
+        tokens = minOf(tokens, rate)
+    }
+
     /** How long until [amount] could be taken without waiting. */
     fun wait(amount: Int): Duration {
         refill()
@@ -152,7 +164,7 @@
         return when (reply.status) {
             200 -> TxnResult.Applied(Stamp(reply.fields().long("epoch")))
             409 -> TxnResult.Refused(reply.fields().textsOrNull("failed") ?: emptyList())
-            400 -> if (reply.fields().textOrNull("error") == "no such lease") TxnResult.NoHold else refused(reply)
+            400 -> if (reply.fields().textOrNull("error") == "no such lease") TxnResult.NoHold else TxnResult.Rejected("${reply.body}")
             else -> refused(reply)
         }
     }
@@ -186,7 +198,12 @@
         }
     }
 
-    private fun refused(reply: Reply): Nothing = throw Unavailable("state service answered ${reply.status} ${reply.body}")
+    private fun refused(reply: Reply): Nothing {
+        val what = "state service answered ${reply.status} ${reply.body}"
+        if (reply.status != 429) throw Unavailable(what)
+        requests.lower()
+        throw Throttled(what)
+    }
 
     private companion object {
         const val PAGE = 500
--- a/src/test/kotlin/umberslip/sim/Samples.kt
+++ b/src/test/kotlin/umberslip/sim/Samples.kt
@@ -15,6 +15,10 @@
         """"rps":300.0,"write_rps":75.0,"value_kb":2.0,"txn_ops":8""",
     )
 
+    /** As [settingsJson], with a state service that may lower its limits at any time. */
+    fun loweredJson(member: String): String =
+        settingsJson(member).replace(""""value_kb":2.0,"txn_ops":8""", """"value_kb":4.0,"txn_ops":12,"next":{"write_rps":30.0,"value_kb":1.0,"txn_ops":4}""")
+
     /** Few controllers, many teams, frequent reports and a slow state service with small values. */
     fun teamsFleetJson(member: String): String = json(
         member, 3,
