--- a/src/main/kotlin/umberslip/admission/Admission.kt
+++ b/src/main/kotlin/umberslip/admission/Admission.kt
@@ -23,12 +23,12 @@
 import umberslip.records.Reader
 import umberslip.records.RecordView
 import umberslip.records.Shape
-import umberslip.records.Stamped
+import umberslip.records.Versioned
 import umberslip.settings.Settings
 import umberslip.settings.TeamSettings
 import umberslip.state.Guard
 import umberslip.state.Pacer
-import umberslip.state.Stamp
+import umberslip.state.Version
 import umberslip.state.StateService
 import umberslip.state.TxnResult
 import umberslip.state.Write
@@ -52,7 +52,7 @@
 object Feasibility {
     fun objection(spec: JobSpec, teams: Map<String, TeamSettings>, flavors: List<Flavor>, zones: List<String>): String? {
         val team = teams[spec.team] ?: return "unknown team"
-        val all = if (spec.shape == Shape.ARRAY) 1 else spec.pieces
+        val all = if (spec.shape == Shape.ARRAY) 1 else spec.tasks
         if (team.cpusMax != null && spec.cpus * all > team.cpusMax + EPSILON) return "needs more than the team's limit"
         if (team.gpusMax != null && spec.gpus * all > team.gpusMax + EPSILON) return "needs more than the team's limit"
         if (spec.zone != null && spec.zone !in zones && flavors.none { spec.zone in it.zones }) return "no such zone"
@@ -215,7 +215,7 @@
             writes.take(left.size, urgent = false)
             val result = try {
                 state.txn(
-                    left.flatMap { listOf(Guard(Keys.job(it.spec.id), Stamp.NONE), Guard(Keys.end(it.spec.id), Stamp.NONE)) },
+                    left.flatMap { listOf(Guard(Keys.job(it.spec.id), Version.NONE), Guard(Keys.end(it.spec.id), Version.NONE)) },
                     left.map { Write.Put(Keys.job(it.spec.id), JobRecord(it.spec, it.submitted, false).toMap()) },
                 )
             } catch (e: Unavailable) {
@@ -239,7 +239,7 @@
                     if (known.isEmpty()) return
                     left = rest
                 }
-                TxnResult.NoHold -> return
+                TxnResult.NoLease -> return
                 is TxnResult.Rejected -> {
                     log.error("{} submissions are too large or malformed together: {}", left.size, result.why)
                     return
@@ -285,7 +285,7 @@
         }
     }
 
-    private fun cancelled(job: JobRecord) = EndRecord(End.CANCELLED, job.spec.pieces)
+    private fun cancelled(job: JobRecord) = EndRecord(End.CANCELLED, job.spec.tasks)
 
     private suspend fun end(id: JobId): EndRecord? {
         val entry = state.get(Keys.end(id)) ?: return null
@@ -296,7 +296,7 @@
         ends.getIfPresent(id)?.let { return told(200, id, it) }
         repeat(3) {
             val records = reader.confirm() ?: return undecided()
-            val job: Stamped<JobRecord>? = records.job(id)
+            val job: Versioned<JobRecord>? = records.job(id)
             if (job == null) {
                 val end = end(id) ?: return Response.error(404, "no such job")
                 return told(200, id, end)
@@ -306,7 +306,7 @@
             // Whichever of done and cancelled is written first is final: both create the end's record.
             writes.take(2, urgent = true)
             val result = state.txn(
-                listOf(Guard(Keys.job(id), job.stamp), Guard(Keys.end(id), Stamp.NONE)),
+                listOf(Guard(Keys.job(id), job.version), Guard(Keys.end(id), Version.NONE)),
                 listOf(
                     Write.Put(Keys.end(id), end.toMap()),
                     Write.Put(Keys.job(id), job.value.copy(cancelled = true).toMap()),
@@ -325,7 +325,7 @@
         status,
         mapOf(
             "uid" to id.value, "status" to end.end.word,
-            "done" to if (end.end == End.DONE) end.pieces else 0, "running" to 0,
+            "done" to if (end.end == End.DONE) end.tasks else 0, "running" to 0,
         ),
     )
 
--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -22,12 +22,12 @@
 
     val isNone: Boolean get() = cpus < EPSILON && gpus < EPSILON || memoryGb < EPSILON
 
-    /** How many times [piece] fits. */
-    fun times(piece: Room): Int {
+    /** How many times [task] fits. */
+    fun times(task: Room): Int {
         var n = Double.MAX_VALUE
-        if (piece.cpus > 0) n = minOf(n, cpus / piece.cpus)
-        if (piece.gpus > 0) n = minOf(n, gpus / piece.gpus)
-        if (piece.memoryGb > 0) n = minOf(n, memoryGb / piece.memoryGb)
+        if (task.cpus > 0) n = minOf(n, cpus / task.cpus)
+        if (task.gpus > 0) n = minOf(n, gpus / task.gpus)
+        if (task.memoryGb > 0) n = minOf(n, memoryGb / task.memoryGb)
         return (n + EPSILON).toInt().coerceAtLeast(0)
     }
 
@@ -59,11 +59,11 @@
     var used: Room = Room.NONE
         private set
 
-    /** Ended pieces stay in reports until their result is written; only then may they be cleared. */
+    /** Ended tasks stay in reports until their result is written; only then may they be cleared. */
     val awaitingClear = HashMap<TaskId, Ending>()
 
-    /** Pieces in the newest report that carried the owner's own term. */
-    var reported: Map<TaskId, Piece> = emptyMap()
+    /** Tasks in the newest report that carried the owner's own term. */
+    var reported: Map<TaskId, ReportedTask> = emptyMap()
 
     /** That of the newest report; null before the first. */
     var mark: Mark? = null
@@ -151,7 +151,7 @@
     /** For how long nothing was heard of it, directly or from another controller. */
     fun silence(now: Duration): Duration = now - maxOf(lastHeard ?: loadedAt, relayedAt ?: Duration.ZERO)
 
-    fun hold(a: Assignment) {
+    fun add(a: Assignment) {
         if (held.put(a.id, a) != null) return
         used += a.room
         if (a.job.spec.image !in ready) awaited.merge(a.job.spec.image, 1, Int::plus)
--- a/src/main/kotlin/umberslip/agents/Reports.kt
+++ b/src/main/kotlin/umberslip/agents/Reports.kt
@@ -7,11 +7,11 @@
 import umberslip.records.TaskId
 import umberslip.records.Term
 
-enum class PieceStatus(val word: String) {
+enum class TaskState(val word: String) {
     FETCHING("fetching"), GATHERING("gathering"), RUNNING("running"), SAVING("saving"), ENDED("ended");
 
     companion object {
-        fun of(word: String): PieceStatus? = entries.find { it.word == word }
+        fun of(word: String): TaskState? = entries.find { it.word == word }
     }
 }
 
@@ -24,14 +24,14 @@
     }
 }
 
-data class Piece(val task: TaskId, val attempt: Long, val status: PieceStatus, val cause: Cause?, val saved: Boolean)
+data class ReportedTask(val task: TaskId, val attempt: Long, val status: TaskState, val cause: Cause?, val saved: Boolean)
 
 /** Which report of its machine one is: a session, and a number within it. The larger is the newer. */
-data class Mark(val shift: Long, val counter: Long) : Comparable<Mark> {
-    override fun compareTo(other: Mark): Int = compareValuesBy(this, other, Mark::shift, Mark::counter)
+data class Mark(val session: Long, val counter: Long) : Comparable<Mark> {
+    override fun compareTo(other: Mark): Int = compareValuesBy(this, other, Mark::session, Mark::counter)
 
     /** The worker sent nothing in between. */
-    fun follows(other: Mark): Boolean = shift == other.shift && counter == other.counter + 1
+    fun follows(other: Mark): Boolean = session == other.session && counter == other.counter + 1
 }
 
 /** What a worker says of its machine. */
@@ -41,9 +41,9 @@
     val zone: String,
     val spot: Boolean,
     val mark: Mark,
-    val warrant: Term,
+    val token: Term,
     val warningSeconds: Double?,
-    val pieces: List<Piece>,
+    val tasks: List<ReportedTask>,
 ) {
     companion object {
         /** Hundreds come every second, each with all that is on a machine, so they are read as they stream by. */
@@ -54,49 +54,49 @@
             var type: String? = null
             var zone: String? = null
             var spot = false
-            var shift: Long? = null
+            var session: Long? = null
             var counter: Long? = null
-            var warrant: Long? = null
+            var token: Long? = null
             var warning: Double? = null
-            val pieces = ArrayList<Piece>()
+            val tasks = ArrayList<ReportedTask>()
             s.map { name ->
                 when (name) {
                     "host" -> host = s.text(name)
                     "hosttype" -> type = s.text(name)
                     "hall" -> zone = s.text(name)
                     "reclaimable" -> if (!s.isNull) spot = s.flag(name)
-                    "shift" -> shift = s.long(name)
+                    "shift" -> session = s.long(name)
                     "counter" -> counter = s.long(name)
-                    "warrant" -> warrant = s.long(name)
+                    "warrant" -> token = s.long(name)
                     "warning_s" -> if (!s.isNull) warning = s.number(name)
-                    "pieces" -> s.list { pieces += piece(s) }
+                    "pieces" -> s.list { tasks += piece(s) }
                     else -> s.skip()
                 }
             }
             return Report(
                 HostName(there(host, "host").ifEmpty { throw Malformed("host is empty") }), there(type, "hosttype"), there(zone, "hall"), spot,
-                Mark(there(shift, "shift"), there(counter, "counter")), Term(there(warrant, "warrant")), warning, pieces,
+                Mark(there(session, "shift"), there(counter, "counter")), Term(there(token, "warrant")), warning, tasks,
             )
         }
 
-        private fun piece(s: Streamed): Piece {
+        private fun piece(s: Streamed): ReportedTask {
             var task: TaskId? = null
             var attempt: Long? = null
-            var status: PieceStatus? = null
+            var status: TaskState? = null
             var cause: String? = null
             var saved = false
             s.map { name ->
                 when (name) {
                     "piece" -> task = TaskId.parse(s.text(name)) ?: throw Malformed("piece is not a task id")
                     "try" -> attempt = s.long(name)
-                    "status" -> status = PieceStatus.of(s.text(name)) ?: throw Malformed("unknown status of a piece")
+                    "status" -> status = TaskState.of(s.text(name)) ?: throw Malformed("unknown status of a piece")
                     "cause" -> if (!s.isNull) cause = s.text(name)
                     "saved" -> if (!s.isNull) saved = s.flag(name)
                     else -> s.skip()
                 }
             }
             val state = there(status, "status")
-            return Piece(there(task, "piece"), there(attempt, "try"), state, if (state == PieceStatus.ENDED) Cause.of(cause) else null, saved)
+            return ReportedTask(there(task, "piece"), there(attempt, "try"), state, if (state == TaskState.ENDED) Cause.of(cause) else null, saved)
         }
 
         private fun <T : Any> there(value: T?, name: String): T = value ?: throw Malformed("$name is missing")
--- a/src/main/kotlin/umberslip/daemon/Controller.kt
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -37,7 +37,7 @@
 import umberslip.settings.Tuning
 import umberslip.state.Guard
 import umberslip.state.Pacer
-import umberslip.state.Stamp
+import umberslip.state.Version
 import umberslip.state.StateService
 import umberslip.state.TxnResult
 import umberslip.state.Write
@@ -93,7 +93,7 @@
     private var relaying = 0
     private val malformed = HashSet<String>()
     private val relay = Relay()
-    private var noteStamp: Stamp? = null
+    private var noteVersion: Version? = null
 
     private fun writes(share: Double) = Pacer(settings.stateLimits.writeRps * share, clock, settings.stateLimits.nextWriteRps * share)
 
@@ -118,10 +118,10 @@
         if (hosts.isEmpty()) return
         val key = Keys.relayed(settings.member)
         try {
-            val stamp = noteStamp ?: state.get(key)?.stamp ?: Stamp.NONE
-            noteStamp = null
-            val result = state.txn(listOf(Guard(key, stamp)), listOf(Write.Put(key, HostsRecord(hosts).toMap())))
-            if (result is TxnResult.Applied) noteStamp = result.stamp
+            val version = noteVersion ?: state.get(key)?.version ?: Version.NONE
+            noteVersion = null
+            val result = state.txn(listOf(Guard(key, version)), listOf(Write.Put(key, HostsRecord(hosts).toMap())))
+            if (result is TxnResult.Applied) noteVersion = result.version
         } catch (e: Unavailable) {
             log.debug("relayed machines not noted: {}", e.message)
         } catch (e: NoAnswer) {
--- a/src/main/kotlin/umberslip/dispatch/Board.kt
+++ b/src/main/kotlin/umberslip/dispatch/Board.kt
@@ -9,8 +9,8 @@
 import umberslip.agents.Failures
 import umberslip.agents.Machine
 import umberslip.agents.Order
-import umberslip.agents.Piece
-import umberslip.agents.PieceStatus
+import umberslip.agents.ReportedTask
+import umberslip.agents.TaskState
 import umberslip.agents.Report
 import umberslip.agents.Room
 import umberslip.cloud.Flavor
@@ -25,13 +25,13 @@
 import umberslip.records.Placement
 import umberslip.records.RecordView
 import umberslip.records.Shape
-import umberslip.records.Stamped
+import umberslip.records.Versioned
 import umberslip.records.TaskId
 import umberslip.records.Term
 import umberslip.settings.Objective
 import umberslip.settings.Settings
 import umberslip.settings.Timings
-import umberslip.state.Stamp
+import umberslip.state.Version
 
 /** What becomes of a worker's report. */
 enum class Verdict {
@@ -59,7 +59,7 @@
     val settings: Settings,
     val timings: Timings,
     val term: Term,
-    ownerStamp: Stamp,
+    ownerVersion: Version,
     private val wallClock: () -> Instant,
 ) {
     private val log = LoggerFactory.getLogger("umberslip.dispatch")
@@ -71,7 +71,7 @@
     /** Images that some machine has. */
     private val images = HashSet<String>()
     val teams: Map<String, Dispatcher> = settings.teams.associate { it.name to Dispatcher(it, images) }
-    val ledger = Ledger(settings.stateLimits, ownerStamp, term.value shl 32)
+    val ledger = Ledger(settings.stateLimits, ownerVersion, term.value shl 32)
     private val elders = Elders()
     private val returned = HashSet<HostName>()
     private val unknownTeams = HashSet<JobId>()
@@ -105,7 +105,7 @@
         for (job in jobs.values) changed(job)
     }
 
-    private fun load(number: Int, record: Stamped<LogRecord>, records: RecordView, now: Duration, silentUntil: Duration) {
+    private fun load(number: Int, record: Versioned<LogRecord>, records: RecordView, now: Duration, silentUntil: Duration) {
         val named = LinkedHashSet<Chunk>()
         for ((id, row) in record.value.rows) {
             val job = jobs[id] ?: continue
@@ -128,7 +128,7 @@
                 named += chunk
             }
         }
-        ledger.load(number, record.stamp, named, now)
+        ledger.load(number, record.version, named, now)
     }
 
     private fun placed(job: RunningJob, p: Placement, now: Duration, silentUntil: Duration) {
@@ -141,10 +141,10 @@
         attach(a, machine)
     }
 
-    fun jobChanged(id: JobId, record: Stamped<JobRecord>, now: Duration) {
+    fun jobChanged(id: JobId, record: Versioned<JobRecord>, now: Duration) {
         val known = jobs[id]
         if (known != null) {
-            if (record.stamp.value <= known.record.stamp.value) return
+            if (record.version.value <= known.record.version.value) return
             known.record = record
             if (known.cancelled) {
                 withdrawUnrecorded(known)
@@ -229,11 +229,11 @@
 
     fun report(report: Report, now: Duration): Verdict {
         if (report.host in returned) return Verdict.STALE
-        if (report.warrant > term) return Verdict.OUTRANKED
+        if (report.token > term) return Verdict.OUTRANKED
         val known = machines[report.host]
         val last = known?.mark
         if (last != null && report.mark <= last) return Verdict.STALE
-        if (report.warrant < term) {
+        if (report.token < term) {
             if (known != null) describe(known, report)
             known?.proven = false
             return Verdict.GREET
@@ -243,7 +243,7 @@
         // an answer: so either shows that it hears. Reports alone do not: answers to it may be lost,
         // and copies of old reports may come late.
         machine.hears = !machine.proven || last == null || report.mark.follows(last)
-        val newShift = machine.proven && report.mark.shift != last?.shift
+        val newSession = machine.proven && report.mark.session != last?.session
         describe(machine, report)
         if (machine.firstHeard == null) {
             machine.firstHeard = now
@@ -262,7 +262,7 @@
             log.info("machine {} will be taken back in {} s", machine.name.value, warning)
         }
         machine.proven = true
-        reconcile(machine, report, newShift, now)
+        reconcile(machine, report, newSession, now)
         return Verdict.ANSWER
     }
 
@@ -286,27 +286,27 @@
             old.job.unplace(old)
             machine.drop(old)
             old.job.place(a)
-            machine.hold(a)
+            machine.add(a)
         }
     }
 
-    private fun reconcile(machine: Machine, report: Report, newShift: Boolean, now: Duration) {
-        val pieces = HashMap<TaskId, Piece>(report.pieces.size * 2)
+    private fun reconcile(machine: Machine, report: Report, newSession: Boolean, now: Duration) {
+        val tasks = HashMap<TaskId, ReportedTask>(report.tasks.size * 2)
         for (a in machine.assignments.values) a.seen = false
-        for (piece in report.pieces) {
-            pieces[piece.task] = piece
+        for (piece in report.tasks) {
+            tasks[piece.task] = piece
             val a = machine.assignments[piece.task]
             if (a == null || a.attempt != piece.attempt || a.reserved) continue
             a.seen = true
             a.status = piece.status
-            if (piece.status == PieceStatus.RUNNING && a.runningSince == null) {
+            if (piece.status == TaskState.RUNNING && a.runningSince == null) {
                 a.runningSince = now
                 machine.ran(a.job.spec.image)
             }
-            if (piece.status == PieceStatus.ENDED) ended(machine, a, piece.cause ?: Cause.ERROR, now)
+            if (piece.status == TaskState.ENDED) ended(machine, a, piece.cause ?: Cause.ERROR, now)
         }
-        machine.reported = pieces
-        if (machine.awaitingClear.isNotEmpty()) machine.awaitingClear.entries.removeIf { (task, ending) -> pieces[task]?.attempt != ending.attempt }
+        machine.reported = tasks
+        if (machine.awaitingClear.isNotEmpty()) machine.awaitingClear.entries.removeIf { (task, ending) -> tasks[task]?.attempt != ending.attempt }
         var absent: ArrayList<Assignment>? = null
         for (a in machine.assignments.values) {
             if (a.recorded && !a.reserved && !a.seen) absent = (absent ?: ArrayList()).also { it += a }
@@ -316,9 +316,9 @@
             // on to a newer report. It is told again, unless it should not be here any more.
             a.status = null
             a.runningSince = null
-            if (newShift || a.windDown != null || a.job.cancelled || !(machine.usable || machine.staysFor(now) > Duration.ZERO)) release(a, now)
+            if (newSession || a.windDown != null || a.job.cancelled || !(machine.usable || machine.staysFor(now) > Duration.ZERO)) release(a, now)
         }
-        if (newShift) log.info("machine {} began session {}", machine.name.value, report.mark.shift)
+        if (newSession) log.info("machine {} began session {}", machine.name.value, report.mark.session)
     }
 
     private fun ended(machine: Machine, a: Assignment, cause: Cause, now: Duration) {
@@ -377,7 +377,7 @@
         var free = machine.free() ?: return true
         if (free.isNone) return true
         // Something is on the machine that the records do not know: its room is not known either.
-        if (machine.reported.values.any { it.status != PieceStatus.ENDED && machine.assignments[it.task]?.attempt != it.attempt }) return true
+        if (machine.reported.values.any { it.status != TaskState.ENDED && machine.assignments[it.task]?.attempt != it.attempt }) return true
         val candidates = LinkedHashMap<Dispatcher, RunningJob>()
         for (team in teams.values) team.pick(machine, free, now, within)?.let { candidates[team] = it }
         while (candidates.isNotEmpty()) {
@@ -408,7 +408,7 @@
             a.reserved = true
             if (job.gatheringSince == null) job.gatheringSince = now
             attach(a, machine)
-            if (job.assigned.size == job.spec.pieces - job.doneCount) startGang(job, now)
+            if (job.assigned.size == job.spec.tasks - job.doneCount) startGang(job, now)
         } else {
             attach(a, machine)
             number(a, job.highestAttempt() + 1, now)
@@ -433,7 +433,7 @@
 
     private fun attach(a: Assignment, machine: Machine) {
         a.job.place(a)
-        machine.hold(a)
+        machine.add(a)
         machine.images.add(a.job.spec.image)
         images.add(a.job.spec.image)
         teams[a.job.spec.team]?.take(a.room)
@@ -482,7 +482,7 @@
             if (a != null && a.attempt == piece.attempt) {
                 val windDown = if (a.job.cancelled) Duration.ZERO else a.windDown
                 if (windDown != null) orders += Order.Stop(piece.task, piece.attempt, windDown.inWholeMilliseconds / 1000.0)
-            } else if (piece.status != PieceStatus.ENDED) {
+            } else if (piece.status != TaskState.ENDED) {
                 uncleared += piece.task
                 orders += Order.Stop(piece.task, piece.attempt, 0.0)
             } else if (superseded(piece) || machine.awaitingClear[piece.task].let { it == null || it.attempt != piece.attempt || it.recorded }) {
@@ -503,7 +503,7 @@
     }
 
     /** A later start of the task is recorded, which settles what became of this one. */
-    private fun superseded(piece: Piece): Boolean =
+    private fun superseded(piece: ReportedTask): Boolean =
         jobs[piece.task.job]?.assigned?.get(piece.task.index)?.let { it.recorded && it.attempt > piece.attempt } ?: false
 
     fun hasUnrecorded(machine: Machine): Boolean = machine.assignments.values.any { !it.recorded && !it.reserved }
@@ -550,8 +550,8 @@
     // ---- what is written ----
 
     /** Answered with the machines that got starts recorded. */
-    fun applied(batch: Batch, stamp: Stamp, now: Duration): Set<HostName> {
-        val touched = ledger.applied(batch, stamp)
+    fun applied(batch: Batch, version: Version, now: Duration): Set<HostName> {
+        val touched = ledger.applied(batch, version)
         // Only what the record names without a break since then is out of others' reach.
         batch.condemned?.forEach { host ->
             machines[host]?.let { if (host in ledger.toCondemn && it.condemnedAt == null) it.condemnedAt = now }
@@ -564,18 +564,18 @@
     }
 
     /** What the state service shows of a key whose guard failed, or whose write's fate is unknown. */
-    fun settle(key: String, stamp: Stamp?, data: Any?) {
+    fun settle(key: String, version: Version?, data: Any?) {
         val chunk = Keys.asChunk(key)
         val job = Keys.asJob(key)
         if (chunk != null) {
-            jobs[chunk.first]?.chunkNumber(chunk.second)?.stamp = stamp ?: Stamp.NONE
-        } else if (job != null && stamp == null) {
+            jobs[chunk.first]?.chunkNumber(chunk.second)?.version = version ?: Version.NONE
+        } else if (job != null && version == null) {
             jobs[job]?.let(::remove)
-        } else if (job != null && stamp != null && data != null) {
+        } else if (job != null && version != null && data != null) {
             val known = jobs[job]
-            if (known != null && known.record.stamp != stamp) jobChanged(job, Stamped(JobRecord.parse(data), stamp), Duration.ZERO)
+            if (known != null && known.record.version != version) jobChanged(job, Versioned(JobRecord.parse(data), version), Duration.ZERO)
         } else {
-            ledger.settle(key, stamp)
+            ledger.settle(key, version)
         }
     }
 
--- a/src/main/kotlin/umberslip/dispatch/Ledger.kt
+++ b/src/main/kotlin/umberslip/dispatch/Ledger.kt
@@ -10,10 +10,10 @@
 import umberslip.records.LogRecord
 import umberslip.records.LogRow
 import umberslip.records.Placement
-import umberslip.records.Stamped
+import umberslip.records.Versioned
 import umberslip.settings.StateSettings
 import umberslip.state.Guard
-import umberslip.state.Stamp
+import umberslip.state.Version
 import umberslip.state.Write
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -21,8 +21,8 @@
 /** A run of a job's tasks whose progress is one record. */
 class Chunk(val job: RunningJob, val number: Int) {
     val key = Keys.chunk(job.spec.id, number)
-    var stamp = Stamp.NONE
-    var version = 0L
+    var version = Version.NONE
+    var edits = 0L
     var written = 0L
     var lastAttempt = 0L
 
@@ -31,17 +31,17 @@
 }
 
 /** A task that ended on its machine, or is certainly not there any more; to be recorded. */
-class Ending(val job: RunningJob, val index: Int, val attempt: Long, val done: Boolean, private val chunk: Chunk, private val version: Long, val since: Duration) {
+class Ending(val job: RunningJob, val index: Int, val attempt: Long, val done: Boolean, private val chunk: Chunk, private val edits: Long, val since: Duration) {
     var logged = false
 
     /** In the log, or in its chunk's record: the worker need not keep it any longer. */
-    val recorded: Boolean get() = logged || chunk.written >= version
+    val recorded: Boolean get() = logged || chunk.written >= edits
 }
 
 /** A place in the log; it is free again once every chunk that it names is written. */
 private class LogSlot(val number: Int) {
     val key = Keys.log(number)
-    var stamp = Stamp.NONE
+    var version = Version.NONE
     private val open = ArrayList<Pair<Chunk, Long>>()
 
     fun names(chunks: List<Pair<Chunk, Long>>) {
@@ -52,7 +52,7 @@
     /** Asked for every slot whenever there is something to log; what is written stays so, and is not looked at again. */
     val free: Boolean
         get() {
-            while (open.isNotEmpty() && open.last().let { (chunk, version) -> chunk.written >= version }) open.removeAt(open.lastIndex)
+            while (open.isNotEmpty() && open.last().let { (chunk, edits) -> chunk.written >= edits }) open.removeAt(open.lastIndex)
             return open.isEmpty()
         }
 }
@@ -71,11 +71,11 @@
 )
 
 /**
- * What the owner has still to write, and under which stamps. Starts and ends of tasks go into a log
+ * What the owner has still to write, and under which versions. Starts and ends of tasks go into a log
  * first, many in one value; the records of the jobs' progress follow at leisure, and for a job that
  * ends before that they are never written. So the writes do not grow with the number of tasks. Pure.
  */
-class Ledger(private val limits: StateSettings, private var ownerStamp: Stamp, firstSeq: Long) {
+class Ledger(private val limits: StateSettings, private var ownerVersion: Version, firstSeq: Long) {
     private val slots = List(LOG_SLOTS, ::LogSlot)
 
     /** Of what the limits allow, how much is used; less once the state service has rejected a batch for its size. */
@@ -99,7 +99,7 @@
 
     /** Machines that the record condemns, and those that it should. */
     private var condemned: Set<HostName> = emptySet()
-    private var condemnedStamp = Stamp.NONE
+    private var condemnedVersion = Version.NONE
 
     /**
      * In the order in which they came, since only the first so many fit into the record: what is in it
@@ -108,8 +108,8 @@
     val toCondemn = LinkedHashSet<HostName>()
 
     /** The owner's record has a new version: writes under the former one come through no more. */
-    fun fenced(stamp: Stamp) {
-        ownerStamp = stamp
+    fun fenced(version: Version) {
+        ownerVersion = version
     }
 
     fun started(a: Assignment, now: Duration) {
@@ -126,7 +126,7 @@
     fun ended(a: Assignment, done: Boolean, now: Duration): Ending {
         val chunk = a.job.chunk(a.index)
         touch(chunk, now)
-        val ending = Ending(a.job, a.index, a.attempt, done, chunk, chunk.version, now)
+        val ending = Ending(a.job, a.index, a.attempt, done, chunk, chunk.edits, now)
         if (!starts.remove(a) || done) ends += ending
         over(a.job)
         return ending
@@ -144,7 +144,7 @@
         for (chunk in job.knownChunks()) {
             chunk.written = Long.MAX_VALUE
             dirty -= chunk
-            if (chunk.stamp != Stamp.NONE) trash += chunk.key
+            if (chunk.version != Version.NONE) trash += chunk.key
         }
     }
 
@@ -153,22 +153,22 @@
     }
 
     private fun touch(chunk: Chunk, now: Duration) {
-        chunk.version++
+        chunk.edits++
         if (chunk.dirtySince == null) chunk.dirtySince = now
         dirty += chunk
     }
 
     /** Takes up a log entry as a former owner left it, whose effects on [named] are applied already. */
-    fun load(number: Int, stamp: Stamp, named: Collection<Chunk>, now: Duration) {
+    fun load(number: Int, version: Version, named: Collection<Chunk>, now: Duration) {
         named.forEach { touch(it, now) }
         val slot = slots.getOrNull(number) ?: return
-        slot.stamp = stamp
-        slot.names(named.map { it to it.version })
+        slot.version = version
+        slot.names(named.map { it to it.edits })
     }
 
-    fun load(record: Stamped<HostsRecord>, known: Set<HostName>) {
+    fun load(record: Versioned<HostsRecord>, known: Set<HostName>) {
         condemned = record.value.hosts
-        condemnedStamp = record.stamp
+        condemnedVersion = record.version
         toCondemn += condemned.filter { it in known }
     }
 
@@ -195,7 +195,7 @@
             if (fitting != condemned) {
                 condemn = fitting
                 writes += Write.Put(Keys.CONDEMNED, HostsRecord(fitting).toMap())
-                guards += Guard(Keys.CONDEMNED, condemnedStamp)
+                guards += Guard(Keys.CONDEMNED, condemnedVersion)
                 size += fitting.sumOf { it.value.length + 4 }
             }
             jobsOver()
@@ -212,7 +212,7 @@
                 writes += Write.Drop(key)
             }
             if (writes.isEmpty()) return null
-            guards += Guard(Keys.OWNER, ownerStamp)
+            guards += Guard(Keys.OWNER, ownerVersion)
             return Batch(guards, writes, chunks, included, endings, ended, trashed, logged, condemn)
         }
 
@@ -223,10 +223,10 @@
                 if (writes.size + 2 > most || guards.size + 3 > maxOps * GUARDS_PER_WRITE) break
                 val key = Keys.job(job.spec.id)
                 val end = if (job.cancelled || job.calledOff) End.CANCELLED else End.DONE
-                guards += Guard(key, job.record.stamp)
+                guards += Guard(key, job.record.version)
                 if (!job.cancelled) {
-                    writes += Write.Put(Keys.end(job.spec.id), EndRecord(end, job.spec.pieces).toMap())
-                    guards += Guard(Keys.end(job.spec.id), Stamp.NONE)
+                    writes += Write.Put(Keys.end(job.spec.id), EndRecord(end, job.spec.tasks).toMap())
+                    guards += Guard(Keys.end(job.spec.id), Version.NONE)
                 }
                 writes += Write.Drop(key)
                 ended += job to end
@@ -251,7 +251,7 @@
         /** A start is recorded only if its job is not cancelled by then, whoever has told so meanwhile. */
         private fun guard(job: RunningJob) {
             if (!guarded.add(job)) return
-            val guard = Guard(Keys.job(job.spec.id), job.record.stamp)
+            val guard = Guard(Keys.job(job.spec.id), job.record.version)
             guards += guard
             size += guard.key.length + GUARD_BYTES
         }
@@ -289,8 +289,8 @@
             if (named.isEmpty()) return false
             size += bytes
             writes += Write.Put(slot.key, LogRecord(++seq, rows.mapValues { (_, row) -> LogRow(row.first, row.second) }).toMap())
-            guards += Guard(slot.key, slot.stamp)
-            logged += slot.number to named.map { it to it.version }
+            guards += Guard(slot.key, slot.version)
+            logged += slot.number to named.map { it to it.edits }
             return true
         }
 
@@ -301,27 +301,27 @@
             if (bytes > valueBytes) return
             size += bytes
             writes += Write.Put(chunk.key, record.toMap())
-            guards += Guard(chunk.key, chunk.stamp)
-            chunks += chunk to chunk.version
+            guards += Guard(chunk.key, chunk.version)
+            chunks += chunk to chunk.edits
             for (p in record.placed) chunk.job.assigned[p.index]?.let { if (!it.recorded) included += it }
         }
     }
 
     /** Taken by the state service; answered with the machines that got starts recorded. */
-    fun applied(batch: Batch, stamp: Stamp): Set<HostName> {
+    fun applied(batch: Batch, version: Version): Set<HostName> {
         val touched = HashSet<HostName>()
         batch.condemned?.let {
             condemned = it
-            condemnedStamp = stamp
+            condemnedVersion = version
         }
-        for ((chunk, version) in batch.chunks) {
-            chunk.stamp = stamp
-            chunk.written = maxOf(chunk.written, version)
+        for ((chunk, edits) in batch.chunks) {
+            chunk.version = version
+            chunk.written = maxOf(chunk.written, edits)
             dirty -= chunk
             if (chunk.written == Long.MAX_VALUE) {
                 // Its job ended while this was on its way.
                 trash += chunk.key
-            } else if (chunk.version == version) {
+            } else if (chunk.edits == edits) {
                 chunk.dirtySince = null
             } else {
                 // Changed while it was on its way: it takes its place at the end.
@@ -329,7 +329,7 @@
             }
         }
         for ((number, named) in batch.logged) {
-            slots[number].stamp = stamp
+            slots[number].version = version
             slots[number].names(named)
         }
         for (e in batch.ends) {
@@ -357,14 +357,14 @@
     }
 
     /** What the state service shows of a key whose guard failed, or whose write's fate is unknown. */
-    fun settle(key: String, stamp: Stamp?) {
+    fun settle(key: String, version: Version?) {
         val slot = Keys.asLog(key)
         if (key == Keys.CONDEMNED) {
-            condemnedStamp = stamp ?: Stamp.NONE
+            condemnedVersion = version ?: Version.NONE
             // What it says is not known; it is written again, and counts from then.
             condemned = setOf(UNKNOWN_HOST)
         } else if (slot != null) {
-            slots.getOrNull(slot)?.stamp = stamp ?: Stamp.NONE
+            slots.getOrNull(slot)?.version = version ?: Version.NONE
         }
     }
 
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -32,7 +32,7 @@
 import umberslip.settings.Tuning
 import umberslip.state.Guard
 import umberslip.state.Pacer
-import umberslip.state.Stamp
+import umberslip.state.Version
 import umberslip.state.StateService
 import umberslip.state.TxnResult
 import umberslip.state.Write
@@ -155,8 +155,8 @@
 
     private fun takeOver(message: OwnerMessage.TookOver, now: Duration) {
         val term = authority.term ?: return
-        val stamp = authority.stamp ?: return
-        val fresh = Board(settings, timings, term, stamp, wallClock)
+        val version = authority.version ?: return
+        val fresh = Board(settings, timings, term, version, wallClock)
         fresh.setFlavors(flavors)
         fresh.load(message.records, now, message.silentUntil)
         board = fresh
@@ -240,7 +240,7 @@
     }
 
     /**
-     * Past its hold and with no other controller in reach, an owner may have a successor that its
+     * Past its lease and with no other controller in reach, an owner may have a successor that its
      * workers would find. It sends each to ask around; one that comes back found none, and is answered
      * that time, so that its lease goes on where the state service is away for all.
      */
@@ -346,7 +346,7 @@
             is TxnResult.Applied -> {
                 batches.increment()
                 written.increment(message.batch.writes.size.toDouble())
-                for (name in board.applied(message.batch, outcome.stamp, now)) {
+                for (name in board.applied(message.batch, outcome.version, now)) {
                     board.machines[name]?.let { if (!board.hasUnrecorded(it)) answer(board, it, now) }
                 }
             }
@@ -374,19 +374,19 @@
      */
     private suspend fun fence(board: Board): Boolean {
         while (this.board === board) {
-            val stamp = authority.stamp ?: return false
-            val record = OwnerRecord(settings.member, board.term, authority.hold ?: return false)
+            val version = authority.version ?: return false
+            val record = OwnerRecord(settings.member, board.term, authority.lease ?: return false)
             try {
-                when (val result = state.txn(listOf(Guard(Keys.OWNER, stamp)), listOf(Write.Put(Keys.OWNER, record.toMap(), record.hold)))) {
-                    is TxnResult.Applied -> return fenced(board, result.stamp)
+                when (val result = state.txn(listOf(Guard(Keys.OWNER, version)), listOf(Write.Put(Keys.OWNER, record.toMap(), record.lease)))) {
+                    is TxnResult.Applied -> return fenced(board, result.version)
                     is TxnResult.Refused -> {
                         // An earlier try without an answer came through, or somebody else owns.
                         val entry = state.get(Keys.OWNER)
-                        if (entry != null && OwnerRecord.parse(entry.data) == record) return fenced(board, entry.stamp)
+                        if (entry != null && OwnerRecord.parse(entry.data) == record) return fenced(board, entry.version)
                         authority.lost("its record is not ours any more")
                         return false
                     }
-                    TxnResult.NoHold, is TxnResult.Rejected -> {
+                    TxnResult.NoLease, is TxnResult.Rejected -> {
                         authority.lost("its hold has ended")
                         return false
                     }
@@ -401,9 +401,9 @@
         return false
     }
 
-    private fun fenced(board: Board, stamp: Stamp): Boolean {
-        authority.fenced(stamp)
-        board.ledger.fenced(stamp)
+    private fun fenced(board: Board, version: Version): Boolean {
+        authority.fenced(version)
+        board.ledger.fenced(version)
         return true
     }
 
@@ -417,7 +417,7 @@
             while (this.board === board) {
                 try {
                     val entry = state.get(key)
-                    board.settle(key, entry?.stamp, entry?.data)
+                    board.settle(key, entry?.version, entry?.data)
                     break
                 } catch (e: Unavailable) {
                     if (tries++ == 0) log.info("{} cannot be read yet: {}", key, e.message)
--- a/src/main/kotlin/umberslip/dispatch/Pipelines.kt
+++ b/src/main/kotlin/umberslip/dispatch/Pipelines.kt
@@ -120,7 +120,7 @@
     }
 
     private companion object {
-        const val MAX_ENDS = 20_000
+        const val MAX_ENDS = 4_000
 
         /** The earliest are what its place goes by. */
         const val MAX_DEADLINES = 4
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -1,6 +1,6 @@
 package umberslip.dispatch
 
-import umberslip.agents.PieceStatus
+import umberslip.agents.TaskState
 import umberslip.agents.Room
 import umberslip.cloud.HostName
 import umberslip.records.ChunkRecord
@@ -10,10 +10,10 @@
 import umberslip.records.Keys
 import umberslip.records.Placement
 import umberslip.records.Shape
-import umberslip.records.Stamped
+import umberslip.records.Versioned
 import umberslip.records.TaskId
 import umberslip.records.Urgency
-import umberslip.state.Stamp
+import umberslip.state.Version
 import java.util.BitSet
 import java.util.TreeSet
 import kotlin.time.Duration
@@ -30,7 +30,7 @@
 
     /** The start is in the state service, in the log or in its chunk, so it may be told to the worker. */
     var recorded = false
-    var status: PieceStatus? = null
+    var status: TaskState? = null
 
     /** The newest report of its machine shows it. */
     var seen = false
@@ -42,7 +42,7 @@
     /** It runs, saves when stopped, and began at least [settled] ago, so it can go on elsewhere at little loss. */
     fun mayMove(now: Duration, settled: Duration): Boolean {
         val since = runningSince ?: return false
-        return windDown == null && status == PieceStatus.RUNNING && job.spec.checkpointSeconds > 0 && job.spec.shape == Shape.ARRAY &&
+        return windDown == null && status == TaskState.RUNNING && job.spec.checkpointSeconds > 0 && job.spec.shape == Shape.ARRAY &&
             now - since >= settled
     }
 
@@ -53,7 +53,7 @@
 /** An accepted job that has not ended, with all its tasks. */
 class RunningJob(
     val spec: JobSpec,
-    var record: Stamped<JobRecord>,
+    var record: Versioned<JobRecord>,
     val perChunk: Int,
     /** When its user first handed it in. */
     val submittedAt: Duration,
@@ -114,7 +114,7 @@
     var doneCount = 0
         private set
     val assigned = HashMap<Int, Assignment>()
-    private val chunks = arrayOfNulls<Chunk>((spec.pieces + perChunk - 1) / perChunk)
+    private val chunks = arrayOfNulls<Chunk>((spec.tasks + perChunk - 1) / perChunk)
 
     /** Tasks that came back from a machine and wait again; the rest of the waiting are [fresh] and later. */
     private val returned = TreeSet<Int>()
@@ -122,8 +122,8 @@
     val zones = HashMap<String, Int>()
 
     val cancelled: Boolean get() = record.value.cancelled
-    val finished: Boolean get() = doneCount == spec.pieces
-    val waiting: Int get() = if (cancelled || held) 0 else spec.pieces - doneCount - assigned.size
+    val finished: Boolean get() = doneCount == spec.tasks
+    val waiting: Int get() = if (cancelled || held) 0 else spec.tasks - doneCount - assigned.size
 
     /** Nothing of it runs or will run. */
     val over: Boolean get() = if (cancelled || calledOff) assigned.isEmpty() else finished
@@ -179,8 +179,8 @@
     fun peek(): Int? {
         if (cancelled || held) return null
         returned.firstOrNull()?.let { return it }
-        while (fresh < spec.pieces && (done.get(fresh) || assigned.containsKey(fresh))) fresh++
-        return if (fresh < spec.pieces) fresh else null
+        while (fresh < spec.tasks && (done.get(fresh) || assigned.containsKey(fresh))) fresh++
+        return if (fresh < spec.tasks) fresh else null
     }
 
     fun place(a: Assignment) {
@@ -196,9 +196,9 @@
         if (!done.get(a.index)) returned.add(a.index)
     }
 
-    fun load(number: Int, record: Stamped<ChunkRecord>) {
+    fun load(number: Int, record: Versioned<ChunkRecord>) {
         val chunk = chunkNumber(number)
-        chunk.stamp = record.stamp
+        chunk.version = record.version
         chunk.lastAttempt = record.value.lastAttempt
         val base = number * perChunk
         record.value.done.stream().forEach { setDone(base + it) }
@@ -206,7 +206,7 @@
 
     fun chunkRecord(chunk: Chunk, seq: Long): ChunkRecord {
         val base = chunk.number * perChunk
-        val end = minOf(base + perChunk, spec.pieces)
+        val end = minOf(base + perChunk, spec.tasks)
         val placed = ArrayList<Placement>()
         for (i in base until end) assigned[i]?.takeIf { !it.reserved }?.let { placed += Placement(i, it.attempt, it.host) }
         return ChunkRecord(done.get(base, end), placed, chunk.lastAttempt, seq)
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -200,7 +200,7 @@
 
     /** A hint for the next owner, so that it does not rent for the same need again. */
     private suspend fun note() {
-        val stamp = authority.stamp ?: return
+        val version = authority.version ?: return
         noted = booting.keys.toSet()
         notedAt = clock.now()
         val base = wallClock().toEpochMilli() - clock.now().inWholeMilliseconds
@@ -215,7 +215,7 @@
             )
         }
         try {
-            state.txn(listOf(Guard(Keys.OWNER, stamp)), listOf(Write.Put(Keys.FLEET, mapOf("booting" to rows))))
+            state.txn(listOf(Guard(Keys.OWNER, version)), listOf(Write.Put(Keys.FLEET, mapOf("booting" to rows))))
         } catch (e: Unavailable) {
             log.debug("booting machines not noted: {}", e.message)
         } catch (e: NoAnswer) {
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -1,7 +1,7 @@
 package umberslip.fleet
 
 import umberslip.agents.Machine
-import umberslip.agents.PieceStatus
+import umberslip.agents.TaskState
 import umberslip.agents.Room
 import umberslip.cloud.Flavor
 import umberslip.cloud.HostName
@@ -90,8 +90,8 @@
             m.lastHeard?.let { now - it },
             m.silence(now),
             m.leaseEnd <= now,
-            m.assignments.values.sumOf { if (it.status == PieceStatus.RUNNING) it.room.cpus else 0.0 },
-            m.assignments.values.sumOf { if (it.status == PieceStatus.FETCHING) it.room.cpus else 0.0 },
+            m.assignments.values.sumOf { if (it.status == TaskState.RUNNING) it.room.cpus else 0.0 },
+            m.assignments.values.sumOf { if (it.status == TaskState.FETCHING) it.room.cpus else 0.0 },
         )
 
         private const val LONG = 1e6
--- a/src/main/kotlin/umberslip/ownership/Ownership.kt
+++ b/src/main/kotlin/umberslip/ownership/Ownership.kt
@@ -16,8 +16,8 @@
 import umberslip.records.Term
 import umberslip.settings.Timings
 import umberslip.state.Guard
-import umberslip.state.Hold
-import umberslip.state.Stamp
+import umberslip.state.Lease
+import umberslip.state.Version
 import umberslip.state.StateService
 import umberslip.state.TxnResult
 import umberslip.state.Write
@@ -29,9 +29,9 @@
 class Authority(private val timings: Timings) {
     var term: Term? = null
         private set
-    var stamp: Stamp? = null
+    var version: Version? = null
         private set
-    var hold: Hold? = null
+    var lease: Lease? = null
         private set
     private var renewed: Duration = Duration.ZERO
     private var read: Duration = Duration.ZERO
@@ -42,24 +42,24 @@
     /** Set when a report or a refused write shows that somebody else owns. */
     val isLost: Boolean get() = gone
 
-    fun won(term: Term, stamp: Stamp, hold: Hold, sent: Duration) {
+    fun won(term: Term, version: Version, lease: Lease, sent: Duration) {
         this.term = term
-        this.stamp = stamp
-        this.hold = hold
+        this.version = version
+        this.lease = lease
         renewed = sent
         read = sent
         gone = false
     }
 
     /** The same record under the same term, written anew. */
-    fun fenced(stamp: Stamp) {
-        if (owns) this.stamp = stamp
+    fun fenced(version: Version) {
+        if (owns) this.version = version
     }
 
     fun end() {
         term = null
-        stamp = null
-        hold = null
+        version = null
+        lease = null
         gone = false
     }
 
@@ -93,7 +93,7 @@
     private var othersServedSince: Duration? = null
 
     /**
-     * Past its own hold, while the state service serves others: they take over. That others are served is
+     * Past its own lease, while the state service serves others: they take over. That others are served is
      * heard late, so at the beginning of an outage for all it looks the same; it must last, or the owner
      * would leave all workers without an answer just when nobody can take its place.
      */
@@ -107,13 +107,13 @@
      * Starts need a read as young as the renewal: renewals may come through where reads do not, and then
      * a cancellation that another controller has told would not be known here.
      */
-    fun mayStart(now: Duration): Boolean = owns && !gone && now < minOf(renewed, read) + timings.hold - timings.margin
+    fun mayStart(now: Duration): Boolean = owns && !gone && now < minOf(renewed, read) + timings.ownerLease - timings.margin
 
     /**
      * Running work outlives a short outage: reports are answered, with no starts, for a bounded time.
      * It is counted from the older of renewal and read, since a cancellation is only heard by reading.
      */
-    fun mayAnswer(now: Duration): Boolean = owns && !gone && now < minOf(renewed, read) + timings.hold + timings.grace
+    fun mayAnswer(now: Duration): Boolean = owns && !gone && now < minOf(renewed, read) + timings.ownerLease + timings.grace
 
     private companion object {
         val ABSTAIN = 30.seconds
@@ -167,10 +167,10 @@
             owner == null && clock.now() < authority.abstainUntil && sight() == Sight.SERVED -> delay(WATCH)
             owner == null -> seize(records)
             owner.value.member == member -> {
-                // A process of this name runs once at a time, so the one that took this hold has
-                // ended: its hold need not be waited out. Its late writes fail on the record's stamp.
+                // A process of this name runs once at a time, so the one that took this lease has
+                // ended: its lease need not be waited out. Its late writes fail on the record's version.
                 log.info("ends the hold of this member's former process, term {}", owner.value.term.value)
-                state.endHold(owner.value.hold)
+                state.endLease(owner.value.lease)
                 reader.confirm()
             }
             else -> delay(WATCH)
@@ -181,25 +181,25 @@
         val known = records.term
         val term = known?.value?.next() ?: Term(1)
         val sent = clock.now()
-        val hold = state.openHold(timings.hold)
+        val lease = state.openLease(timings.ownerLease)
         val result = state.txn(
-            listOf(Guard(Keys.OWNER, Stamp.NONE), Guard(Keys.TERM, known?.stamp ?: Stamp.NONE)),
+            listOf(Guard(Keys.OWNER, Version.NONE), Guard(Keys.TERM, known?.version ?: Version.NONE)),
             listOf(
-                Write.Put(Keys.OWNER, OwnerRecord(member, term, hold).toMap(), hold),
+                Write.Put(Keys.OWNER, OwnerRecord(member, term, lease).toMap(), lease),
                 Write.Put(Keys.TERM, mapOf("term" to term.value)),
             ),
         )
         if (result !is TxnResult.Applied) {
-            if (result is TxnResult.Refused) state.endHold(hold)
+            if (result is TxnResult.Refused) state.endLease(lease)
             reader.confirm()
             return
         }
         log.info("took the owner's record under term {}", term.value)
-        authority.won(term, result.stamp, hold, sent)
+        authority.won(term, result.version, lease, sent)
         val took = clock.now()
         // Everything written before the record was taken is in a read begun afterwards; whatever a
         // former owner writes later fails on its guard.
-        val renewing = scope.launch { while (true) { renewOnce(); delay(timings.hold / 5) } }
+        val renewing = scope.launch { while (true) { renewOnce(); delay(timings.ownerLease / 5) } }
         try {
             while (!authority.isLost) {
                 val read = reader.confirm()
@@ -219,21 +219,21 @@
         // Nobody waits for this one's grace.
         if (authority.servesOthersOnly(clock.now(), sight())) authority.lost("the state service serves others only")
         if (authority.isLost) {
-            val hold = authority.hold
+            val lease = authority.lease
             authority.end()
             listener.steppedDown()
             // Whoever comes next need not wait for it to run out; it may have ended already.
-            if (hold != null) state.endHold(hold)
+            if (lease != null) state.endLease(lease)
         } else {
-            delay(timings.hold / 5)
+            delay(timings.ownerLease / 5)
         }
     }
 
     private suspend fun renewOnce() {
-        val hold = authority.hold ?: return
+        val lease = authority.lease ?: return
         val sent = clock.now()
         try {
-            if (state.renew(hold)) authority.renewed(sent) else authority.lost("its hold has ended")
+            if (state.renew(lease)) authority.renewed(sent) else authority.lost("its hold has ended")
         } catch (e: Unavailable) {
             log.debug("not renewed: {}", e.message)
         } catch (e: NoAnswer) {
--- a/src/main/kotlin/umberslip/records/JobSpec.kt
+++ b/src/main/kotlin/umberslip/records/JobSpec.kt
@@ -12,7 +12,7 @@
         fun parse(text: String): JobId? =
             if (text.length in 1..MAX_LENGTH && plain(text[0]) && text.all { plain(it) || it in "._-" }) JobId(text) else null
 
-        // Read for every piece of every report, so no regular expression.
+        // Read for every task of every report, so no regular expression.
         private fun plain(c: Char): Boolean = c in 'a'..'z' || c in 'A'..'Z' || c in '0'..'9'
     }
 }
@@ -56,7 +56,7 @@
     val team: String,
     val shape: Shape,
     val urgency: Urgency,
-    val pieces: Int,
+    val tasks: Int,
     val cpus: Double,
     val gpus: Double,
     val memoryGb: Double,
@@ -74,18 +74,18 @@
     /** Jobs that have to be done before any task of this one starts. */
     val awaits: List<JobId> = emptyList(),
 ) {
-    val maxPerZone: Int get() = if (spread) (pieces + 1) / 2 else Int.MAX_VALUE
+    val maxPerZone: Int get() = if (spread) (tasks + 1) / 2 else Int.MAX_VALUE
 
     fun toMap(): Map<String, Any?> = mapOf(
         "uid" to id.value, "jobclass" to jobClass, "owner" to team, "shape" to shape.word, "urgency" to urgency.word,
-        "pieces" to pieces, "vcpus" to cpus, "accelerators" to gpus, "memory_gb" to memoryGb, "bundle" to image,
+        "pieces" to tasks, "vcpus" to cpus, "accelerators" to gpus, "memory_gb" to memoryGb, "bundle" to image,
         "image_gb" to imageGb, "hosttypes" to types, "hall" to zone, "one_zone" to oneZone, "spread" to spread,
         "reclaimable" to spot, "expected_s" to expectedSeconds, "savepoint_s" to checkpointSeconds,
         "saving_s" to savingSeconds, "due_s" to dueSeconds,
     ) + if (awaits.isEmpty()) emptyMap() else mapOf("awaits" to awaits.map { it.value })
 
     companion object {
-        const val MAX_PIECES = 100_000L
+        const val MAX_TASKS = 100_000L
 
         /** No amount or time makes sense beyond it: thirty years of seconds. */
         private const val MAX_AMOUNT = 1e9
@@ -97,7 +97,7 @@
             fun <T : Any> word(name: String, of: (String) -> T?): T =
                 of(f.text(name)) ?: throw Malformed("$name has an unknown value")
 
-            val pieces = f.long("pieces").also { if (it !in 1..MAX_PIECES) throw Malformed("pieces is not within 1..$MAX_PIECES") }
+            val tasks = f.long("pieces").also { if (it !in 1..MAX_TASKS) throw Malformed("pieces is not within 1..$MAX_TASKS") }
             val cpus = amount("vcpus")
             val gpus = amount("accelerators")
             val memory = amount("memory_gb")
@@ -108,7 +108,7 @@
                 team = f.text("owner"),
                 shape = word("shape", Shape::of),
                 urgency = word("urgency", Urgency::of),
-                pieces = pieces.toInt(),
+                tasks = tasks.toInt(),
                 cpus = cpus,
                 gpus = gpus,
                 memoryGb = memory,
--- a/src/main/kotlin/umberslip/records/Reader.kt
+++ b/src/main/kotlin/umberslip/records/Reader.kt
@@ -41,7 +41,7 @@
     private val listener: RecordListener,
 ) : Actor<ReaderMessage>("records", scope) {
     private val replica = Replica()
-    private var epoch: Long? = null
+    private var revision: Long? = null
     private var reading = false
     private var running = ArrayList<CompletableDeferred<RecordView?>>()
     private var waiting = ArrayList<CompletableDeferred<RecordView?>>()
@@ -115,9 +115,9 @@
 
     private suspend fun read(began: Duration): Boolean {
         try {
-            val from = epoch
+            val from = revision
             val changes = if (from == null) null else state.changes(Keys.ROOT, from)
-            val events = if (changes == null) readAll() else changes.changes.mapNotNull(replica::apply).also { epoch = changes.epoch }
+            val events = if (changes == null) readAll() else changes.changes.mapNotNull(replica::apply).also { revision = changes.revision }
             if (failures > 0) log.info("the state service answers again after {} failed reads", failures)
             failures = 0
             confirmedAt = began
@@ -139,12 +139,12 @@
             val page = state.list(Keys.ROOT, after)
             // Changes are taken up from the first page's revision: what the later pages already
             // show is then seen twice, which does no harm.
-            if (first == null) first = page.epoch
+            if (first == null) first = page.revision
             entries += page.entries
             if (!page.more || page.entries.isEmpty()) break
             after = page.entries.last().key
         }
-        epoch = first
+        revision = first
         log.info("read {} records at revision {}", entries.size, first)
         return replica.replace(entries)
     }
--- a/src/main/kotlin/umberslip/records/Records.kt
+++ b/src/main/kotlin/umberslip/records/Records.kt
@@ -3,8 +3,8 @@
 import umberslip.cloud.HostName
 import umberslip.http.Fields
 import umberslip.http.Malformed
-import umberslip.state.Hold
-import umberslip.state.Stamp
+import umberslip.state.Lease
+import umberslip.state.Version
 import java.time.Instant
 import java.util.BitSet
 
@@ -47,13 +47,13 @@
         if (key.startsWith(CHUNK)) TaskId.parse(key.substring(CHUNK.length))?.let { it.job to it.index } else null
 }
 
-/** Who owns, under which term, and under which hold of the state service. */
-data class OwnerRecord(val member: String, val term: Term, val hold: Hold) {
-    fun toMap(): Map<String, Any?> = mapOf("member" to member, "term" to term.value, "hold" to hold.id)
+/** Who owns, under which term, and under which lease of the state service. */
+data class OwnerRecord(val member: String, val term: Term, val lease: Lease) {
+    fun toMap(): Map<String, Any?> = mapOf("member" to member, "term" to term.value, "hold" to lease.id)
 
     companion object {
         fun parse(data: Any?): OwnerRecord = Fields.of(data, Keys.OWNER).let {
-            OwnerRecord(it.text("member"), Term(it.long("term")), Hold(it.long("hold")))
+            OwnerRecord(it.text("member"), Term(it.long("term")), Lease(it.long("hold")))
         }
     }
 }
@@ -73,8 +73,8 @@
 enum class End(val word: String) { DONE("done"), CANCELLED("aborted") }
 
 /** How a job ended; never changed once written. */
-data class EndRecord(val end: End, val pieces: Int) {
-    fun toMap(): Map<String, Any?> = mapOf("status" to end.word, "pieces" to pieces)
+data class EndRecord(val end: End, val tasks: Int) {
+    fun toMap(): Map<String, Any?> = mapOf("status" to end.word, "pieces" to tasks)
 
     companion object {
         fun parse(data: Any?): EndRecord = Fields.of(data).let { f ->
@@ -214,4 +214,4 @@
     }
 }
 
-class Stamped<T>(val value: T, val stamp: Stamp)
+class Versioned<T>(val value: T, val version: Version)
--- a/src/main/kotlin/umberslip/records/Replica.kt
+++ b/src/main/kotlin/umberslip/records/Replica.kt
@@ -6,32 +6,32 @@
 import umberslip.http.Malformed
 import umberslip.state.Change
 import umberslip.state.Entry
-import umberslip.state.Stamp
+import umberslip.state.Version
 
 /** What a change of the records means to those who act on them. */
 sealed interface RecordEvent {
-    data class JobChanged(val id: JobId, val job: Stamped<JobRecord>) : RecordEvent
+    data class JobChanged(val id: JobId, val job: Versioned<JobRecord>) : RecordEvent
 
     /** The job's record is gone: it ended, and how is told by its end's record. */
     data class JobGone(val id: JobId) : RecordEvent
     /** Another controller answered reports of these machines lately. */
     data class Relayed(val hosts: Set<HostName>) : RecordEvent
-    data class OwnerChanged(val owner: Stamped<OwnerRecord>?) : RecordEvent
+    data class OwnerChanged(val owner: Versioned<OwnerRecord>?) : RecordEvent
 }
 
 /** A reader's copy of the records, to look at and not to change. */
 interface RecordView {
-    val owner: Stamped<OwnerRecord>?
-    val term: Stamped<Term>?
+    val owner: Versioned<OwnerRecord>?
+    val term: Versioned<Term>?
     val fleet: Any?
-    val condemned: Stamped<HostsRecord>?
+    val condemned: Versioned<HostsRecord>?
 
-    fun job(id: JobId): Stamped<JobRecord>?
-    fun jobs(): Map<JobId, Stamped<JobRecord>>
-    fun chunks(): Map<JobId, Map<Int, Stamped<ChunkRecord>>>
+    fun job(id: JobId): Versioned<JobRecord>?
+    fun jobs(): Map<JobId, Versioned<JobRecord>>
+    fun chunks(): Map<JobId, Map<Int, Versioned<ChunkRecord>>>
 
     /** Logged starts and ends by slot. */
-    fun log(): Map<Int, Stamped<LogRecord>>
+    fun log(): Map<Int, Versioned<LogRecord>>
 
     /** How many tasks of a job are done, and how many placed. */
     fun progress(id: JobId): Pair<Int, Int>
@@ -40,44 +40,44 @@
 /** This controller's copy of the records of all jobs that have not ended. Pure state; the reading is the [Reader]'s. */
 class Replica : RecordView {
     private val log = LoggerFactory.getLogger("umberslip.records")
-    private val jobs = HashMap<JobId, Stamped<JobRecord>>()
-    private val chunks = HashMap<JobId, HashMap<Int, Stamped<ChunkRecord>>>()
-    private val entries = HashMap<Int, Stamped<LogRecord>>()
+    private val jobs = HashMap<JobId, Versioned<JobRecord>>()
+    private val chunks = HashMap<JobId, HashMap<Int, Versioned<ChunkRecord>>>()
+    private val entries = HashMap<Int, Versioned<LogRecord>>()
 
     /** The rows of the log by job, since every question about a job asks for its own. */
     private val rowsOf = HashMap<JobId, HashMap<Int, LogRow>>()
     private val corrupt = HashSet<String>()
 
-    override var owner: Stamped<OwnerRecord>? = null
+    override var owner: Versioned<OwnerRecord>? = null
         private set
-    override var term: Stamped<Term>? = null
+    override var term: Versioned<Term>? = null
         private set
     override var fleet: Any? = null
         private set
-    override var condemned: Stamped<HostsRecord>? = null
+    override var condemned: Versioned<HostsRecord>? = null
         private set
 
-    override fun job(id: JobId): Stamped<JobRecord>? = jobs[id]
+    override fun job(id: JobId): Versioned<JobRecord>? = jobs[id]
 
-    override fun jobs(): Map<JobId, Stamped<JobRecord>> = jobs
+    override fun jobs(): Map<JobId, Versioned<JobRecord>> = jobs
 
-    override fun chunks(): Map<JobId, Map<Int, Stamped<ChunkRecord>>> = chunks
+    override fun chunks(): Map<JobId, Map<Int, Versioned<ChunkRecord>>> = chunks
 
-    override fun log(): Map<Int, Stamped<LogRecord>> = entries
+    override fun log(): Map<Int, Versioned<LogRecord>> = entries
 
     override fun progress(id: JobId): Pair<Int, Int> {
         val all = chunks[id]?.values ?: emptyList()
         val seq = all.minOfOrNull { it.value.seq } ?: 0L
         val rows = rowsOf[id].orEmpty().filter { (slot, _) -> (entries[slot]?.value?.seq ?: 0L) > seq }.values
-        val pieces = jobs[id]?.value?.spec?.pieces ?: 0
+        val tasks = jobs[id]?.value?.spec?.tasks ?: 0
         val ended = rows.sumOf { it.ends.size }
-        val done = minOf(all.sumOf { it.value.done.cardinality() } + rows.sumOf { row -> row.ends.count { it.done } }, pieces)
-        return done to (all.sumOf { it.value.placed.size } + rows.sumOf { it.starts.size } - ended).coerceIn(0, pieces - done)
+        val done = minOf(all.sumOf { it.value.done.cardinality() } + rows.sumOf { row -> row.ends.count { it.done } }, tasks)
+        return done to (all.sumOf { it.value.placed.size } + rows.sumOf { it.starts.size } - ended).coerceIn(0, tasks - done)
     }
 
     fun apply(change: Change): RecordEvent? = when (change) {
-        is Change.Put -> put(Entry(change.key, change.data, change.stamp))
-        is Change.Drop -> drop(change.key, change.stamp)
+        is Change.Put -> put(Entry(change.key, change.data, change.version))
+        is Change.Drop -> drop(change.key, change.version)
     }
 
     /** Takes all keys as read page by page; what is not among them is gone. */
@@ -87,7 +87,7 @@
         jobs.keys.forEach { gone += Keys.job(it) }
         chunks.forEach { (id, all) -> all.keys.forEach { gone += Keys.chunk(id, it) } }
         gone += Keys.OWNER
-        return gone.filter { it !in seen }.mapNotNull { drop(it, Stamp(Long.MAX_VALUE)) } + entries.mapNotNull(::put)
+        return gone.filter { it !in seen }.mapNotNull { drop(it, Version(Long.MAX_VALUE)) } + entries.mapNotNull(::put)
     }
 
     private fun put(entry: Entry): RecordEvent? = try {
@@ -97,10 +97,10 @@
         when {
             jobId != null -> {
                 val known = jobs[jobId]
-                if (known != null && known.stamp.value >= entry.stamp.value) {
+                if (known != null && known.version.value >= entry.version.value) {
                     null
                 } else {
-                    val job = Stamped(JobRecord.parse(entry.data), entry.stamp)
+                    val job = Versioned(JobRecord.parse(entry.data), entry.version)
                     jobs[jobId] = job
                     RecordEvent.JobChanged(jobId, job)
                 }
@@ -108,30 +108,30 @@
             chunk != null -> {
                 val all = chunks.getOrPut(chunk.first) { HashMap() }
                 val known = all[chunk.second]
-                if (known == null || known.stamp.value < entry.stamp.value) {
-                    all[chunk.second] = Stamped(ChunkRecord.parse(entry.data), entry.stamp)
+                if (known == null || known.version.value < entry.version.value) {
+                    all[chunk.second] = Versioned(ChunkRecord.parse(entry.data), entry.version)
                 }
                 null
             }
             slot != null -> {
-                if ((entries[slot]?.stamp?.value ?: 0L) < entry.stamp.value) logged(slot, Stamped(LogRecord.parse(entry.data), entry.stamp))
+                if ((entries[slot]?.version?.value ?: 0L) < entry.version.value) logged(slot, Versioned(LogRecord.parse(entry.data), entry.version))
                 null
             }
             entry.key == Keys.OWNER -> {
                 val known = owner
-                if (known != null && known.stamp.value >= entry.stamp.value) {
+                if (known != null && known.version.value >= entry.version.value) {
                     null
                 } else {
-                    owner = Stamped(OwnerRecord.parse(entry.data), entry.stamp)
+                    owner = Versioned(OwnerRecord.parse(entry.data), entry.version)
                     RecordEvent.OwnerChanged(owner)
                 }
             }
             entry.key == Keys.TERM -> {
-                term = Stamped(Term(Fields.of(entry.data, Keys.TERM).long("term")), entry.stamp)
+                term = Versioned(Term(Fields.of(entry.data, Keys.TERM).long("term")), entry.version)
                 null
             }
             entry.key == Keys.CONDEMNED -> {
-                if ((condemned?.stamp?.value ?: 0L) < entry.stamp.value) condemned = Stamped(HostsRecord.parse(entry.data), entry.stamp)
+                if ((condemned?.version?.value ?: 0L) < entry.version.value) condemned = Versioned(HostsRecord.parse(entry.data), entry.version)
                 null
             }
             Keys.isRelayed(entry.key) -> RecordEvent.Relayed(HostsRecord.parse(entry.data).hosts)
@@ -143,11 +143,11 @@
         }
     } catch (e: Malformed) {
         // Reported, never guessed at: the key is left alone and its job neither runs nor is forgotten.
-        if (corrupt.add(entry.key)) log.error("record {} at {} cannot be read: {}", entry.key, entry.stamp.value, e.message)
+        if (corrupt.add(entry.key)) log.error("record {} at {} cannot be read: {}", entry.key, entry.version.value, e.message)
         null
     }
 
-    private fun logged(slot: Int, record: Stamped<LogRecord>) {
+    private fun logged(slot: Int, record: Versioned<LogRecord>) {
         entries[slot]?.value?.rows?.keys?.forEach { job ->
             val rows = rowsOf[job] ?: return@forEach
             rows.remove(slot)
@@ -157,13 +157,13 @@
         for ((job, row) in record.value.rows) rowsOf.getOrPut(job) { HashMap() }[slot] = row
     }
 
-    private fun drop(key: String, stamp: Stamp): RecordEvent? {
+    private fun drop(key: String, version: Version): RecordEvent? {
         corrupt.remove(key)
         val jobId = Keys.asJob(key)
         val chunk = if (jobId == null) Keys.asChunk(key) else null
         return when {
             jobId != null -> {
-                val job = jobs[jobId]?.takeIf { it.stamp.value < stamp.value }
+                val job = jobs[jobId]?.takeIf { it.version.value < version.value }
                 if (job == null) {
                     null
                 } else {
@@ -175,14 +175,14 @@
                 val all = chunks[chunk.first]
                 if (all != null) {
                     val known = all[chunk.second]
-                    if (known != null && known.stamp.value < stamp.value) all.remove(chunk.second)
+                    if (known != null && known.version.value < version.value) all.remove(chunk.second)
                     if (all.isEmpty()) chunks.remove(chunk.first)
                 }
                 null
             }
             key == Keys.OWNER -> {
                 val known = owner
-                if (known != null && known.stamp.value < stamp.value) {
+                if (known != null && known.version.value < version.value) {
                     owner = null
                     RecordEvent.OwnerChanged(null)
                 } else {
--- a/src/main/kotlin/umberslip/settings/Tuning.kt
+++ b/src/main/kotlin/umberslip/settings/Tuning.kt
@@ -10,7 +10,7 @@
 /** The operators' own settings (TOML); every one has a default. */
 data class Tuning(
     /** How long the owner's record outlives its last renewal. */
-    val hold: Duration = 4.seconds,
+    val ownerLease: Duration = 4.seconds,
     /** Set aside for clock drift and late timers wherever two clocks must agree on an end. */
     val margin: Duration = 1.seconds,
     /** How long one round of placing may take before others get their turn. */
@@ -49,7 +49,7 @@
             }
             val d = Tuning()
             return Tuning(
-                hold = number("ownership.hold_s")?.seconds ?: d.hold,
+                ownerLease = number("ownership.hold_s")?.seconds ?: d.ownerLease,
                 margin = number("ownership.margin_s")?.seconds ?: d.margin,
                 roundBudget = number("dispatch.round_budget_ms")?.milliseconds ?: d.roundBudget,
                 drain = number("fleet.drain_s")?.seconds ?: d.drain,
@@ -65,20 +65,20 @@
  *
  * An owner that can no longer renew may go on answering reports for [grace], so that running work
  * survives a short outage. A cancellation may meanwhile be told by another controller, and bites at
- * the latest once the leases renewed by those answers have run out: hold + grace + lease + margin
+ * the latest once the leases renewed by those answers have run out: ownerLease + grace + lease + margin
  * must fit into the time that a cancellation has.
  */
 class Timings(workers: WorkerSettings, tuning: Tuning) {
-    val hold: Duration = tuning.hold
+    val ownerLease: Duration = tuning.ownerLease
     val margin: Duration = tuning.margin
     val lease: Duration = workers.lease
-    val grace: Duration = workers.cancel - workers.lease - hold - margin
+    val grace: Duration = workers.cancel - workers.lease - ownerLease - margin
 
     init {
         if (grace < Duration.ZERO) {
             throw BadSettings("ownership.hold_s is too long: with settings.workers.lease_s it must fit into settings.workers.cancel_s")
         }
-        if (hold < margin * 2) throw BadSettings("ownership.hold_s must be at least twice ownership.margin_s")
+        if (ownerLease < margin * 2) throw BadSettings("ownership.hold_s must be at least twice ownership.margin_s")
     }
 
     /** The clocks of two machines drift apart by at most this share. */
--- a/src/main/kotlin/umberslip/state/StateService.kt
+++ b/src/main/kotlin/umberslip/state/StateService.kt
@@ -15,45 +15,45 @@
 
 /** A lease of the state service. */
 @JvmInline
-value class Hold(val id: Long)
+value class Lease(val id: Long)
 
 /** The revision at which a key last changed; 0 where there is no such key. */
 @JvmInline
-value class Stamp(val value: Long) {
+value class Version(val value: Long) {
     companion object {
-        val NONE = Stamp(0)
+        val NONE = Version(0)
     }
 }
 
-data class Guard(val key: String, val stamp: Stamp)
+data class Guard(val key: String, val version: Version)
 
 sealed interface Write {
     val key: String
 
-    data class Put(override val key: String, val data: Map<String, Any?>, val hold: Hold? = null) : Write
+    data class Put(override val key: String, val data: Map<String, Any?>, val lease: Lease? = null) : Write
     data class Drop(override val key: String) : Write
 }
 
-data class Entry(val key: String, val data: Any?, val stamp: Stamp)
+data class Entry(val key: String, val data: Any?, val version: Version)
 
 sealed interface Change {
     val key: String
-    val stamp: Stamp
+    val version: Version
 
-    data class Put(override val key: String, val data: Any?, override val stamp: Stamp) : Change
-    data class Drop(override val key: String, override val stamp: Stamp) : Change
+    data class Put(override val key: String, val data: Any?, override val version: Version) : Change
+    data class Drop(override val key: String, override val version: Version) : Change
 }
 
-class Page(val entries: List<Entry>, val more: Boolean, val epoch: Long)
+class Page(val entries: List<Entry>, val more: Boolean, val revision: Long)
 
-class Changes(val epoch: Long, val changes: List<Change>)
+class Changes(val revision: Long, val changes: List<Change>)
 
 sealed interface TxnResult {
-    data class Applied(val stamp: Stamp) : TxnResult
+    data class Applied(val version: Version) : TxnResult
     data class Refused(val failed: List<String>) : TxnResult
 
     /** A put named a hold that has ended. */
-    data object NoHold : TxnResult
+    data object NoLease : TxnResult
 
     /** Over a limit of size, or malformed: the same again would meet the same answer. */
     data class Rejected(val why: String) : TxnResult
@@ -70,11 +70,11 @@
     /** Null where [after] is too old and the keys must be read again. */
     suspend fun changes(prefix: String, after: Long): Changes?
     suspend fun txn(guards: List<Guard>, writes: List<Write>): TxnResult
-    suspend fun openHold(ttl: Duration): Hold
+    suspend fun openLease(ttl: Duration): Lease
 
     /** False once the hold has ended. */
-    suspend fun renew(hold: Hold): Boolean
-    suspend fun endHold(hold: Hold)
+    suspend fun renew(lease: Lease): Boolean
+    suspend fun endLease(lease: Lease)
 }
 
 /** Keeps to a rate per second with bursts of one second's worth; urgent takers may go into debt. */
@@ -118,7 +118,7 @@
     override suspend fun get(key: String): Entry? {
         val reply = call(HttpMethod.GET, "/keys/$key", null)
         return when (reply.status) {
-            200 -> reply.fields().let { Entry(it.text("path"), it.raw()["data"], Stamp(it.long("stamp"))) }
+            200 -> reply.fields().let { Entry(it.text("path"), it.raw()["data"], Version(it.long("stamp"))) }
             404 -> null
             else -> refused(reply)
         }
@@ -129,7 +129,7 @@
         val reply = call(HttpMethod.GET, "/keys?under=$prefix$from&page=$PAGE", null)
         if (reply.status != 200) refused(reply)
         val f = reply.fields()
-        val entries = f.maps("entries").map { Entry(it.text("path"), it.raw()["data"], Stamp(it.long("stamp"))) }
+        val entries = f.maps("entries").map { Entry(it.text("path"), it.raw()["data"], Version(it.long("stamp"))) }
         return Page(entries, f.flag("has_next"), f.long("epoch"))
     }
 
@@ -139,44 +139,44 @@
         if (reply.status != 200) refused(reply)
         val f = reply.fields()
         val changes = f.maps("events").map {
-            val stamp = Stamp(it.long("stamp"))
+            val version = Version(it.long("stamp"))
             val put = it.textOrNull("set")
-            if (put != null) Change.Put(put, it.raw()["data"], stamp) else Change.Drop(it.text("drop"), stamp)
+            if (put != null) Change.Put(put, it.raw()["data"], version) else Change.Drop(it.text("drop"), version)
         }
         return Changes(f.long("epoch"), changes)
     }
 
     override suspend fun txn(guards: List<Guard>, writes: List<Write>): TxnResult {
         val body = mapOf(
-            "guards" to guards.map { mapOf("path" to it.key, "stamp" to it.stamp.value) },
+            "guards" to guards.map { mapOf("path" to it.key, "stamp" to it.version.value) },
             "writes" to writes.map {
                 when (it) {
                     is Write.Drop -> mapOf("drop" to it.key)
                     is Write.Put -> buildMap<String, Any?> {
                         put("set", it.key)
                         put("data", it.data)
-                        it.hold?.let { hold -> put("hold", hold.id) }
+                        it.lease?.let { lease -> put("hold", lease.id) }
                     }
                 }
             },
         )
         val reply = call(HttpMethod.POST, "/txn", body)
         return when (reply.status) {
-            200 -> TxnResult.Applied(Stamp(reply.fields().long("epoch")))
+            200 -> TxnResult.Applied(Version(reply.fields().long("epoch")))
             409 -> TxnResult.Refused(reply.fields().textsOrNull("failed") ?: emptyList())
-            400 -> if (reply.fields().textOrNull("error") == "no such lease") TxnResult.NoHold else TxnResult.Rejected("${reply.body}")
+            400 -> if (reply.fields().textOrNull("error") == "no such lease") TxnResult.NoLease else TxnResult.Rejected("${reply.body}")
             else -> refused(reply)
         }
     }
 
-    override suspend fun openHold(ttl: Duration): Hold {
+    override suspend fun openLease(ttl: Duration): Lease {
         val reply = call(HttpMethod.POST, "/holds", mapOf("ttl_ms" to ttl.inWholeMilliseconds), urgent = true)
         if (reply.status != 200) refused(reply)
-        return Hold(reply.fields().long("hold"))
+        return Lease(reply.fields().long("hold"))
     }
 
-    override suspend fun renew(hold: Hold): Boolean {
-        val reply = call(HttpMethod.POST, "/holds/${hold.id}/renew", emptyMap<String, Any?>(), urgent = true)
+    override suspend fun renew(lease: Lease): Boolean {
+        val reply = call(HttpMethod.POST, "/holds/${lease.id}/renew", emptyMap<String, Any?>(), urgent = true)
         return when (reply.status) {
             200 -> true
             404 -> false
@@ -184,8 +184,8 @@
         }
     }
 
-    override suspend fun endHold(hold: Hold) {
-        val reply = call(HttpMethod.DELETE, "/holds/${hold.id}", null, urgent = true)
+    override suspend fun endLease(lease: Lease) {
+        val reply = call(HttpMethod.DELETE, "/holds/${lease.id}", null, urgent = true)
         if (reply.status != 200 && reply.status != 404) refused(reply)
     }
 
--- a/src/test/kotlin/umberslip/agents/RelayTest.kt
+++ b/src/test/kotlin/umberslip/agents/RelayTest.kt
@@ -18,31 +18,31 @@
 import umberslip.records.Term
 import umberslip.sim.Samples
 import umberslip.state.Change
-import umberslip.state.Hold
-import umberslip.state.Stamp
+import umberslip.state.Lease
+import umberslip.state.Version
 import java.time.Instant
 import kotlin.random.Random
 
 class RelayTest {
     private val replica = Replica()
     private val spec = Samples.job(Random(1), 1)
-    private val running = Piece(TaskId(spec.id, 0), 7, PieceStatus.RUNNING, null, false)
+    private val running = ReportedTask(TaskId(spec.id, 0), 7, TaskState.RUNNING, null, false)
 
-    private fun put(key: String, data: Map<String, Any?>, stamp: Long) {
-        replica.apply(Change.Put(key, Documents.readCbor(Documents.writeCbor(data)), Stamp(stamp)))
+    private fun put(key: String, data: Map<String, Any?>, version: Long) {
+        replica.apply(Change.Put(key, Documents.readCbor(Documents.writeCbor(data)), Version(version)))
     }
 
-    private fun answer(warrant: Long = 4) =
-        Relay.answer(Report(HostName("m"), "small", "east", false, Mark(1, 1), Term(warrant), null, listOf(running)), replica)
+    private fun answer(token: Long = 4) =
+        Relay.answer(Report(HostName("m"), "small", "east", false, Mark(1, 1), Term(token), null, listOf(running)), replica)
 
     @Test
     fun `a report is answered with the owner's term while the records allow it`() {
         assertNull(answer(), "nobody owns")
-        put(Keys.OWNER, OwnerRecord("c-1", Term(4), Hold(1)).toMap(), 1)
+        put(Keys.OWNER, OwnerRecord("c-1", Term(4), Lease(1)).toMap(), 1)
         put(Keys.job(spec.id), JobRecord(spec, Instant.EPOCH, false).toMap(), 2)
         assertEquals(4L to emptyList<Order>(), answer())
-        assertEquals(4L to emptyList<Order>(), answer(warrant = 3))
-        assertNull(answer(warrant = 5), "the worker has seen a higher term")
+        assertEquals(4L to emptyList<Order>(), answer(token = 3))
+        assertNull(answer(token = 5), "the worker has seen a higher term")
         put(Keys.job(spec.id), JobRecord(spec, Instant.EPOCH, true).toMap(), 3)
         assertEquals(4L to listOf(Order.Stop(running.task, 7, 0.0)), answer(), "a cancellation bites here too")
         put(Keys.CONDEMNED, HostsRecord(setOf(HostName("m"))).toMap(), 4)
@@ -54,7 +54,7 @@
     @Test
     fun `late copies count for nothing, and only two reports in a row are a sign of life`() {
         val relay = Relay()
-        fun report(shift: Long, counter: Long) = Report(HostName("m"), "small", "east", false, Mark(shift, counter), Term(4), null, emptyList())
+        fun report(session: Long, counter: Long) = Report(HostName("m"), "small", "east", false, Mark(session, counter), Term(4), null, emptyList())
         assertTrue(relay.isNew(report(1, 7)))
         assertFalse(relay.isNew(report(1, 7)))
         assertFalse(relay.isNew(report(1, 3)))
--- a/src/test/kotlin/umberslip/dispatch/BoardTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/BoardTest.kt
@@ -12,10 +12,11 @@
 import umberslip.records.Keys
 import umberslip.records.Shape
 import umberslip.state.Guard
+import umberslip.http.Documents
 import umberslip.records.TaskId
 import umberslip.records.Term
 import umberslip.records.Urgency
-import umberslip.state.Stamp
+import umberslip.state.Version
 import umberslip.state.Write
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
@@ -67,10 +68,10 @@
         val job = t.job()
         startAll(job)
         assertEquals(Verdict.STALE, t.report("m", counter = 1))
-        assertEquals(Verdict.GREET, t.report("m", warrant = Term(4), counter = 50))
+        assertEquals(Verdict.GREET, t.report("m", token = Term(4), counter = 50))
         assertEquals(3, job.assigned.size)
         assertEquals(emptyList<Order>(), t.orders("m"))
-        assertEquals(Verdict.OUTRANKED, t.report("m", warrant = Term(6), counter = 51))
+        assertEquals(Verdict.OUTRANKED, t.report("m", token = Term(6), counter = 51))
     }
 
     @Test
@@ -109,7 +110,7 @@
         val next = t.successor()
         val taken = next.board.jobs.getValue(job.spec.id)
         assertEquals(3, taken.assigned.size)
-        next.report("m", warrant = Term(5), counter = 10)
+        next.report("m", token = Term(5), counter = 10)
         next.report("other", type = "large")
         next.deal("other")
         assertEquals(emptyList<TaskId>(), next.starts("other"))
@@ -130,7 +131,7 @@
         for (seed in 1..40) {
             val random = Random(seed)
             val w = TestBoard()
-            repeat(3) { w.job { it.copy(pieces = random.nextInt(1, 90), cpus = 0.5, memoryGb = 0.1) } }
+            repeat(3) { w.job { it.copy(tasks = random.nextInt(1, 90), cpus = 0.5, memoryGb = 0.1) } }
             repeat(30) {
                 w.now += 1.seconds
                 val host = "m${random.nextInt(4)}"
@@ -145,7 +146,7 @@
                 val loaded = next.board.jobs.getValue(id)
                 val certain = job.assigned.values.associate { it.index to (it.attempt to it.host) }
                 assertEquals(certain, loaded.assigned.values.filter { it.index in certain }.associate { it.index to (it.attempt to it.host) }, "seed $seed")
-                assertTrue((0 until job.spec.pieces).all { job.isDone(it) || !loaded.isDone(it) }, "seed $seed")
+                assertTrue((0 until job.spec.tasks).all { job.isDone(it) || !loaded.isDone(it) }, "seed $seed")
                 assertTrue(loaded.highestAttempt() >= job.assigned.values.maxOfOrNull { it.attempt } ?: 0, "seed $seed")
             }
         }
@@ -167,7 +168,7 @@
     @Test
     fun `a task is not started beside its own former attempt`() {
         // Found by the rules test: the worker refuses it as busy, over and over.
-        val job = t.job { it.copy(pieces = 1) }
+        val job = t.job { it.copy(tasks = 1) }
         startAll(job)
         val first = placed(job).single()
         t.report("m", ended(first, Cause.HALTED))
@@ -181,14 +182,14 @@
 
     @Test
     fun `a task that is done is not placed again`() {
-        val job = t.job { it.copy(pieces = 6) }
+        val job = t.job { it.copy(tasks = 6) }
         startAll(job)
         val first = placed(job).first()
         t.report("m", *placed(job).map { if (it === first) ended(it, Cause.DONE) else running(it) }.toTypedArray())
         t.deal("m")
         assertTrue(job.isDone(first.index))
         assertFalse(job.assigned.containsKey(first.index))
-        assertEquals(job.spec.pieces, job.doneCount + job.assigned.size + job.waiting)
+        assertEquals(job.spec.tasks, job.doneCount + job.assigned.size + job.waiting)
     }
 
     @Test
@@ -205,7 +206,7 @@
 
     @Test
     fun `a cancelled job starts nothing more and its tasks are stopped until they are gone`() {
-        val job = t.job { it.copy(pieces = 6) }
+        val job = t.job { it.copy(tasks = 6) }
         startAll(job)
         t.cancel(job)
         t.report("m", *placed(job).map(::running).toTypedArray())
@@ -225,10 +226,10 @@
         t.deal("m")
         val batch = t.batch() ?: error("nothing to write")
         t.board.ledger.notApplied(batch)
-        batch.writes.forEach { t.board.settle(it.key, Stamp(77), null) }
+        batch.writes.forEach { t.board.settle(it.key, Version(77), null) }
         assertEquals(emptyList<Order>(), t.orders("m"), "not recorded for sure")
         val again = t.batch() ?: error("nothing to write again")
-        assertTrue(again.guards.any { it.stamp == Stamp(77) })
+        assertTrue(again.guards.any { it.version == Version(77) })
         t.board.settle("u/job/${job.spec.id.value}", null, null)
         assertNull(t.board.jobs[job.spec.id])
     }
@@ -236,13 +237,13 @@
     @Test
     fun `a start is recorded only while its job is not cancelled, and no transaction outgrows its guards`() {
         // Found by reading: another controller's cancellation and the record of a start crossed, and the start was told.
-        val jobs = List(40) { t.job { it.copy(pieces = 1, cpus = 0.1, memoryGb = 0.1) } }
+        val jobs = List(40) { t.job { it.copy(tasks = 1, cpus = 0.1, memoryGb = 0.1) } }
         t.report("m")
         t.deal("m")
         val all = t.settings.stateLimits.txnOps
         val first = t.batch() ?: error("nothing to write")
         assertTrue(first.starts.isNotEmpty())
-        for (a in first.starts) assertTrue(Guard(Keys.job(a.job.spec.id), a.job.record.stamp) in first.guards, "${a.id}")
+        for (a in first.starts) assertTrue(Guard(Keys.job(a.job.spec.id), a.job.record.version) in first.guards, "${a.id}")
         assertTrue(first.guards.size <= all * 4, "${first.guards.size} guards")
         val called = first.starts.first().job
         t.board.ledger.notApplied(first)
@@ -258,17 +259,32 @@
         t.report("m")
         t.deal("m")
         val late = t.batch() ?: error("nothing to write")
-        t.board.ledger.fenced(Stamp(500))
+        t.board.ledger.fenced(Version(500))
         val next = t.batch() ?: error("nothing to write again")
-        assertEquals(listOf(Stamp(1), Stamp(500)), listOf(late, next).map { batch -> batch.guards.single { it.key == Keys.OWNER }.stamp })
+        assertEquals(listOf(Version(1), Version(500)), listOf(late, next).map { batch -> batch.guards.single { it.key == Keys.OWNER }.version })
+    }
+
+    @Test
+    fun `a batch that is rejected for its size is not written again as it is`() {
+        repeat(30) { t.job { it.copy(tasks = 10, cpus = 0.01, memoryGb = 0.01) } }
+        t.report("m")
+        t.deal("m")
+        fun sizes(batch: Batch) = batch.writes.filterIsInstance<Write.Put>().map { Documents.jsonSize(it.data) }
+        val first = t.batch() ?: error("nothing to write")
+        t.board.ledger.rejected(first)
+        val second = t.batch() ?: error("nothing to write again")
+        assertTrue(sizes(second).max() < sizes(first).max() && sizes(second).sum() < sizes(first).sum(), "${sizes(first)} then ${sizes(second)}")
+        repeat(9) { t.board.ledger.rejected(second) }
+        t.write()
+        assertEquals(300, t.starts("m").size, "all come through in the end")
     }
 
     @Test
     fun `what found no place for a minute goes to a machine that is being emptied`() {
         // Found by the meetings test: the plan counted on a machine that could not take the job, and closed all others.
-        startAll(t.job { it.copy(pieces = 1, expectedSeconds = 30.0) })
+        startAll(t.job { it.copy(tasks = 1, expectedSeconds = 30.0) })
         t.machine("m").closing = true
-        val job = t.job { it.copy(pieces = 1, expectedSeconds = 300.0) }
+        val job = t.job { it.copy(tasks = 1, expectedSeconds = 300.0) }
         t.deal("m")
         assertTrue(job.assigned.isEmpty())
         t.now += 61.seconds
@@ -278,8 +294,8 @@
 
     @Test
     fun `a machine is not kept for ever for a job that cannot use it`() {
-        startAll(t.job { it.copy(pieces = 1, cpus = 1.0, expectedSeconds = 500.0) })
-        val big = t.job { it.copy(pieces = 1, cpus = 4.0, urgency = Urgency.CRITICAL) }
+        startAll(t.job { it.copy(tasks = 1, cpus = 1.0, expectedSeconds = 500.0) })
+        val big = t.job { it.copy(tasks = 1, cpus = 4.0, urgency = Urgency.CRITICAL) }
         fun pass(seconds: Int) = repeat(seconds) {
             t.now += 1.seconds
             t.report("m", *t.machine("m").assignments.values.filter { it.recorded }.map { TestBoard.running(it.id, it.attempt) }.toTypedArray())
@@ -296,7 +312,7 @@
         val good = t.job()
         startAll(good)
         t.report("m", *placed(good).map { if (it.index == 0) ended(it, Cause.DONE) else running(it) }.toTypedArray())
-        val bad = t.job { it.copy(pieces = 1) }
+        val bad = t.job { it.copy(tasks = 1) }
         for (host in listOf("x", "y")) {
             t.now += 2.seconds
             t.report(host)
@@ -310,8 +326,8 @@
         t.deal("z")
         assertEquals(0, bad.assigned.size)
 
-        val one = t.job { it.copy(pieces = 1) }
-        val two = t.job { it.copy(pieces = 1) }
+        val one = t.job { it.copy(tasks = 1) }
+        val two = t.job { it.copy(tasks = 1) }
         t.now += 2.seconds
         t.deal("z")
         t.write()
@@ -333,7 +349,7 @@
 
     @Test
     fun `a gang starts as a whole, under one attempt, or gives its slots back and may take longer next time`() {
-        val gang = t.job { it.copy(shape = Shape.GANG, pieces = 6) }
+        val gang = t.job { it.copy(shape = Shape.GANG, tasks = 6) }
         t.report("m")
         t.deal("m")
         t.write()
@@ -359,11 +375,11 @@
     @Test
     fun `a large task is not starved by small ones`() {
         // Found by the rules test: every gap was filled before a whole machine was free.
-        val small = t.job { it.copy(pieces = 100, urgency = Urgency.IDLE) }
+        val small = t.job { it.copy(tasks = 100, urgency = Urgency.IDLE) }
         t.report("m", type = "small")
         t.deal("m")
         t.write()
-        val late = t.job { it.copy(pieces = 1, cpus = 4.0, urgency = Urgency.CRITICAL) }
+        val late = t.job { it.copy(tasks = 1, cpus = 4.0, urgency = Urgency.CRITICAL) }
         repeat(60) {
             t.now += 1.seconds
             val here = t.machine("m").assignments.values.filter { a -> a.recorded }.sortedBy { a -> a.index }
@@ -377,18 +393,18 @@
 
     @Test
     fun `a machine being emptied takes only what ends before it could go`() {
-        val long = t.job { it.copy(pieces = 1, expectedSeconds = 100.0) }
+        val long = t.job { it.copy(tasks = 1, expectedSeconds = 100.0) }
         startAll(long)
         t.machine("m").closing = true
-        t.job { it.copy(pieces = 1, expectedSeconds = 300.0) }
-        val short = t.job { it.copy(pieces = 1, expectedSeconds = 20.0) }
+        t.job { it.copy(tasks = 1, expectedSeconds = 300.0) }
+        val short = t.job { it.copy(tasks = 1, expectedSeconds = 20.0) }
         t.deal("m")
         assertEquals(setOf(long.spec.id, short.spec.id), t.machine("m").assignments.keys.map { it.job }.toSet())
     }
 
     @Test
     fun `a round of placing that runs out of time goes on where it stopped`() {
-        val job = t.job { it.copy(pieces = 10, cpus = 0.1) }
+        val job = t.job { it.copy(tasks = 10, cpus = 0.1) }
         t.report("m")
         var rounds = 0
         while (!t.board.deal(t.machine("m"), t.now) { true }) rounds++
@@ -398,27 +414,27 @@
 
     @Test
     fun `a machine that reports and cannot be told anything gets no new work and shows no life`() {
-        val first = t.job { it.copy(pieces = 1) }
+        val first = t.job { it.copy(tasks = 1) }
         startAll(first)
         t.now += 5.seconds
         // The counter has moved on by more than one: the worker was elsewhere, so no answer reached it.
         t.report("m", *placed(first).map(::running).toTypedArray(), counter = 5)
-        t.job { it.copy(pieces = 2) }
+        t.job { it.copy(tasks = 2) }
         t.deal("m")
         assertEquals(setOf(first.spec.id), t.machine("m").assignments.keys.map { it.job }.toSet())
         assertEquals(5.seconds, t.machine("m").silence(t.now))
         assertFalse(t.machine("m").usable)
         // A new session settles what was told before; an answer that arrived makes it whole again.
-        t.report("m", shift = 2, counter = 9)
+        t.report("m", session = 2, counter = 9)
         assertEquals(0, t.machine("m").assignments.size)
-        t.report("m", shift = 2, counter = 10)
+        t.report("m", session = 2, counter = 10)
         t.deal("m")
         assertEquals(3, t.machine("m").assignments.size)
     }
 
     @Test
     fun `late copies of reports make no machine, renew nothing and prove nothing`() {
-        assertEquals(Verdict.GREET, t.report("gone", warrant = Term(4), counter = 7))
+        assertEquals(Verdict.GREET, t.report("gone", token = Term(4), counter = 7))
         assertNull(t.board.machines[HostName("gone")], "a copy from before this term")
         val job = t.job()
         startAll(job)
@@ -431,7 +447,7 @@
     @Test
     fun `tasks whose zone is not known yet count against a job's spread`() {
         // Found by the rules test: after a takeover, half of a job's tasks were placed beside the other half.
-        val job = t.job { it.copy(pieces = 4, spread = true) }
+        val job = t.job { it.copy(tasks = 4, spread = true) }
         t.report("m", zone = "east")
         t.deal("m")
         t.write()
@@ -466,14 +482,14 @@
     fun `new work waits a moment for a machine that has its image`() {
         val first = t.job { it.copy(image = "one") }
         startAll(first)
-        val next = t.job { it.copy(image = "one", pieces = 1) }
+        val next = t.job { it.copy(image = "one", tasks = 1) }
         t.report("n")
         t.deal("n")
         assertEquals(0, next.assigned.size)
         t.report("m", *placed(first).map(::running).toTypedArray())
         t.deal("m")
         assertEquals(HostName("m"), placed(next).single().host)
-        val other = t.job { it.copy(image = "one", pieces = 1) }
+        val other = t.job { it.copy(image = "one", tasks = 1) }
         t.now += 2.seconds
         t.deal("n")
         assertEquals(HostName("n"), placed(other).single().host, "but not for long")
@@ -481,10 +497,10 @@
 
     @Test
     fun `work that is late for its target makes way for work that can be in time`() {
-        val late = t.job { it.copy(pieces = 1) }
+        val late = t.job { it.copy(tasks = 1) }
         t.now += 55.seconds
         t.tick()
-        val inTime = t.job { it.copy(pieces = 4) }
+        val inTime = t.job { it.copy(tasks = 4) }
         t.report("m")
         t.deal("m")
         assertEquals(4, inTime.assigned.size)
@@ -515,7 +531,7 @@
         // A value that names others instead would let any controller renew the first ones' leases again.
         val names = List(300) { "host-%06d".format(it) }
         fun named() = (t.written.last { it.key == Keys.CONDEMNED } as Write.Put).data.getValue("hosts").let { all -> (all as List<*>).map { it as String } }
-        t.job { it.copy(pieces = 300, cpus = 4.0) }.let { job ->
+        t.job { it.copy(tasks = 300, cpus = 4.0) }.let { job ->
             names.forEach { t.report(it) }
             t.now += 2.seconds
             names.forEach { t.deal(it) }
@@ -538,12 +554,12 @@
 
     @Test
     fun `a report of a full machine costs the same however many jobs wait`() {
-        val spec = { pieces: Int -> t.job { it.copy(pieces = pieces, cpus = 1.0, memoryGb = 0.5) } }
+        val spec = { tasks: Int -> t.job { it.copy(tasks = tasks, cpus = 1.0, memoryGb = 0.5) } }
         spec(4)
         t.report("m")
         t.now += 2.seconds
         t.deal("m")
-        repeat(500) { n -> t.job { it.copy(pieces = 10, cpus = 1.0 + n % 3) } }
+        repeat(500) { n -> t.job { it.copy(tasks = 10, cpus = 1.0 + n % 3) } }
         val before = t.board.teams.getValue("green").considered
         repeat(20) {
             t.report("m")
@@ -555,7 +571,7 @@
     @Test
     fun `a machine fetches one image at a time, and urgent work goes anywhere`() {
         // Found on the fleet's days: a third of all processors waited for fetches that shared a machine's rate.
-        fun of(image: String, urgency: Urgency = Urgency.NORMAL) = t.job { it.copy(image = image, imageGb = 6.0, urgency = urgency, pieces = 1) }
+        fun of(image: String, urgency: Urgency = Urgency.NORMAL) = t.job { it.copy(image = image, imageGb = 6.0, urgency = urgency, tasks = 1) }
         val first = of("one")
         t.report("m")
         t.deal("m")
@@ -575,11 +591,11 @@
 
     @Test
     fun `work whose image is there goes first while the first in order has time, and not for long`() {
-        val had = t.job { it.copy(image = "one", pieces = 1) }
+        val had = t.job { it.copy(image = "one", tasks = 1) }
         startAll(had)
         t.report("m", *placed(had).map(::running).toTypedArray())
-        val first = t.job { it.copy(image = "two", pieces = 1, dueSeconds = 500.0) }
-        val next = t.job { it.copy(image = "one", pieces = 9, dueSeconds = 900.0) }
+        val first = t.job { it.copy(image = "two", tasks = 1, dueSeconds = 500.0) }
+        val next = t.job { it.copy(image = "one", tasks = 9, dueSeconds = 900.0) }
         t.now += 2.seconds
         t.deal("m")
         assertEquals(0, first.assigned.size)
--- a/src/test/kotlin/umberslip/dispatch/DispatcherTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/DispatcherTest.kt
@@ -106,12 +106,12 @@
                     val more = (owed[urgency] ?: 0.0) + share * cpus
                     // The largest comes last and is of the least urgent kind.
                     val largest = second == 450 && urgency == Urgency.IDLE
-                    val pieces = if (largest) 120 else random.nextInt(4, 40)
+                    val tasks = if (largest) 120 else random.nextInt(4, 40)
                     val seconds = random.nextInt(5, 15)
-                    if (second <= 450 && (largest || more > pieces * seconds)) {
-                        val job = t.job { it.copy(urgency = urgency, pieces = pieces, team = if (random.nextInt(8) == 0) "blue" else "green", expectedSeconds = seconds.toDouble(), dueSeconds = 60.0) }
+                    if (second <= 450 && (largest || more > tasks * seconds)) {
+                        val job = t.job { it.copy(urgency = urgency, tasks = tasks, team = if (random.nextInt(8) == 0) "blue" else "green", expectedSeconds = seconds.toDouble(), dueSeconds = 60.0) }
                         came[job] = t.now
-                        owed[urgency] = more - pieces * seconds
+                        owed[urgency] = more - tasks * seconds
                     } else {
                         owed[urgency] = more
                     }
@@ -130,10 +130,10 @@
             }
             for ((job, at) in came) {
                 val wait = (began[job] ?: (t.now + 1.seconds)) - at
-                assertTrue(wait < 240.seconds, "seed $seed: ${job.spec.urgency} job of team ${job.spec.team} of ${job.spec.pieces} tasks that came after ${at - start} waited $wait to begin")
+                assertTrue(wait < 240.seconds, "seed $seed: ${job.spec.urgency} job of team ${job.spec.team} of ${job.spec.tasks} tasks that came after ${at - start} waited $wait to begin")
             }
             for ((urgency, jobs) in came.keys.groupBy { it.spec.urgency }) {
-                assertTrue(jobs.sumOf { it.doneCount } * 2 >= jobs.sumOf { it.spec.pieces }, "seed $seed: of $urgency only ${jobs.sumOf { it.doneCount }} of ${jobs.sumOf { it.spec.pieces }} tasks were done")
+                assertTrue(jobs.sumOf { it.doneCount } * 2 >= jobs.sumOf { it.spec.tasks }, "seed $seed: of $urgency only ${jobs.sumOf { it.doneCount }} of ${jobs.sumOf { it.spec.tasks }} tasks were done")
             }
         }
     }
--- a/src/test/kotlin/umberslip/dispatch/PipelinesTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/PipelinesTest.kt
@@ -15,10 +15,10 @@
 import umberslip.records.JobRecord
 import umberslip.records.JobSpec
 import umberslip.records.Lineage
-import umberslip.records.Stamped
+import umberslip.records.Versioned
 import umberslip.records.Urgency
 import umberslip.sim.Samples
-import umberslip.state.Stamp
+import umberslip.state.Version
 import java.time.Instant
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -32,7 +32,7 @@
         repeat(random.nextInt(2, 25)) { n ->
             val among = if (random.nextInt(3) == 0) specs.take(1) else specs.takeLast(1 + most)
             specs += Samples.job(random, n).copy(
-                pieces = 1, dueSeconds = if (random.nextInt(3) == 0) random.nextInt(50, 500).toDouble() else null, expectedSeconds = random.nextInt(1, 20).toDouble(),
+                tasks = 1, dueSeconds = if (random.nextInt(3) == 0) random.nextInt(50, 500).toDouble() else null, expectedSeconds = random.nextInt(1, 20).toDouble(),
                 awaits = among.shuffled(random).take(random.nextInt(0, most + 1)).map { it.id },
             )
         }
@@ -88,7 +88,7 @@
                     toCome.isNotEmpty() && (takenOver || ready.isEmpty() || random.nextInt(3) > 0) -> {
                         val spec = toCome.removeFirst()
                         val due = listOfNotNull(spec.dueSeconds?.seconds)
-                        val job = RunningJob(spec, Stamped(JobRecord(spec, Instant.EPOCH, false), Stamp(1)), 16, Duration.ZERO, due.ifEmpty { listOf(3600.seconds) }, due)
+                        val job = RunningJob(spec, Versioned(JobRecord(spec, Instant.EPOCH, false), Version(1)), 16, Duration.ZERO, due.ifEmpty { listOf(3600.seconds) }, due)
                         jobs[spec.id] = job
                         model.changed()
                         pipelines.came(job)
@@ -98,7 +98,7 @@
                         model.cancelled += id
                         model.changed()
                         val job = jobs.getValue(id)
-                        job.record = Stamped(job.record.value.copy(cancelled = true), Stamp(2))
+                        job.record = Versioned(job.record.value.copy(cancelled = true), Version(2))
                         pipelines.calledOffWith(job)
                     }
                     else -> {
@@ -154,8 +154,8 @@
     @Test
     fun `nothing of a job is placed before the end of what it needs is recorded`() {
         val t = TestBoard()
-        val first = t.job { it.copy(pieces = 1) }
-        val second = t.job { it.copy(pieces = 1, awaits = listOf(first.spec.id), urgency = Urgency.HIGH) }
+        val first = t.job { it.copy(tasks = 1) }
+        val second = t.job { it.copy(tasks = 1, awaits = listOf(first.spec.id), urgency = Urgency.HIGH) }
         t.report("m")
         t.deal("m")
         t.write()
@@ -175,7 +175,7 @@
     @Test
     fun `those after a cancelled job end without a start, as the records say to a successor, too`() {
         val t = TestBoard()
-        val first = t.job { it.copy(pieces = 1) }
+        val first = t.job { it.copy(tasks = 1) }
         val second = t.job { it.copy(awaits = listOf(first.spec.id)) }
         val third = t.job { it.copy(awaits = listOf(second.spec.id)) }
         t.cancel(first)
@@ -192,7 +192,7 @@
     fun `a new owner asks how those ended that its jobs need`() {
         val t = TestBoard()
         val gone = JobId("run-900000")
-        val job = t.job { it.copy(pieces = 1, awaits = listOf(gone)) }
+        val job = t.job { it.copy(tasks = 1, awaits = listOf(gone)) }
         t.report("m")
         t.deal("m")
         assertEquals(setOf(gone), t.board.pipelines.unread)
--- a/src/test/kotlin/umberslip/dispatch/TestBoard.kt
+++ b/src/test/kotlin/umberslip/dispatch/TestBoard.kt
@@ -3,8 +3,8 @@
 import umberslip.agents.Cause
 import umberslip.agents.Mark
 import umberslip.agents.Order
-import umberslip.agents.Piece
-import umberslip.agents.PieceStatus
+import umberslip.agents.ReportedTask
+import umberslip.agents.TaskState
 import umberslip.agents.Report
 import umberslip.cloud.HostName
 import umberslip.http.Documents
@@ -12,7 +12,7 @@
 import umberslip.records.JobSpec
 import umberslip.records.Keys
 import umberslip.records.Replica
-import umberslip.records.Stamped
+import umberslip.records.Versioned
 import umberslip.records.TaskId
 import umberslip.records.Term
 import umberslip.settings.Settings
@@ -21,7 +21,7 @@
 import umberslip.sim.Samples
 import umberslip.sim.WorldSize
 import umberslip.state.Change
-import umberslip.state.Stamp
+import umberslip.state.Version
 import umberslip.state.Write
 import java.time.Instant
 import kotlin.random.Random
@@ -32,10 +32,10 @@
 class TestBoard(val term: Term = Term(5), private val replica: Replica = Replica()) {
     val settings = Settings.parse(Samples.settingsJson("c-0"))
     val timings = Timings(settings.workers, Tuning())
-    val board = Board(settings, timings, term, Stamp(1), { Instant.EPOCH }).also { it.setFlavors(WorldSize.SMALL) }
+    val board = Board(settings, timings, term, Version(1), { Instant.EPOCH }).also { it.setFlavors(WorldSize.SMALL) }
     private val upkeep = Upkeep(board, settings, timings)
     var now: Duration = 100.seconds
-    var stamp = 100L
+    var version = 100L
     private val counters = HashMap<HostName, Long>()
     private var made = 0
     val written = ArrayList<Write>()
@@ -44,26 +44,26 @@
         val number = ++made
         val spec = change(
             Samples.job(Random(1), number).copy(
-                team = "green", pieces = 3, cpus = 1.0, memoryGb = 1.0, types = null, zone = null, oneZone = false, spread = false, spot = true,
+                team = "green", tasks = 3, cpus = 1.0, memoryGb = 1.0, types = null, zone = null, oneZone = false, spread = false, spot = true,
                 expectedSeconds = 10.0, dueSeconds = 60.0,
             ),
         )
-        val record = Stamped(JobRecord(spec, Instant.EPOCH, false), Stamp(++stamp))
-        replica.apply(Change.Put(Keys.job(spec.id), Documents.readCbor(Documents.writeCbor(record.value.toMap())), record.stamp))
+        val record = Versioned(JobRecord(spec, Instant.EPOCH, false), Version(++version))
+        replica.apply(Change.Put(Keys.job(spec.id), Documents.readCbor(Documents.writeCbor(record.value.toMap())), record.version))
         board.jobChanged(spec.id, record, now)
         return board.jobs.getValue(spec.id)
     }
 
-    fun cancel(job: RunningJob) = board.jobChanged(job.spec.id, Stamped(job.record.value.copy(cancelled = true), Stamp(++stamp)), now)
+    fun cancel(job: RunningJob) = board.jobChanged(job.spec.id, Versioned(job.record.value.copy(cancelled = true), Version(++version)), now)
 
     fun report(
-        host: String, vararg pieces: Piece, warrant: Term = term, type: String = "small", zone: String = "east", spot: Boolean = false,
-        shift: Long = 1, counter: Long? = null, warning: Double? = null,
+        host: String, vararg tasks: ReportedTask, token: Term = term, type: String = "small", zone: String = "east", spot: Boolean = false,
+        session: Long = 1, counter: Long? = null, warning: Double? = null,
     ): Verdict {
         val name = HostName(host)
         val next = counter ?: ((counters[name] ?: 0) + 1)
         counters[name] = next
-        return board.report(Report(name, type, zone, spot, Mark(shift, next), warrant, warning, pieces.toList()), now)
+        return board.report(Report(name, type, zone, spot, Mark(session, next), token, warning, tasks.toList()), now)
             .also { if (it == Verdict.ANSWER || it == Verdict.GREET) board.answered(name, now) }
     }
 
@@ -88,27 +88,27 @@
             val batch = batch() ?: return ops
             ops += batch.writes.size
             written += batch.writes
-            stamp++
+            version++
             for (w in batch.writes) {
                 replica.apply(
                     when (w) {
-                        is Write.Put -> Change.Put(w.key, Documents.readCbor(Documents.writeCbor(w.data)), Stamp(stamp))
-                        is Write.Drop -> Change.Drop(w.key, Stamp(stamp))
+                        is Write.Put -> Change.Put(w.key, Documents.readCbor(Documents.writeCbor(w.data)), Version(version))
+                        is Write.Drop -> Change.Drop(w.key, Version(version))
                     },
                 )
             }
-            board.applied(batch, Stamp(stamp), now)
+            board.applied(batch, Version(version), now)
         }
     }
 
     fun successor() = TestBoard(term.next(), replica).also {
         it.now = now
-        it.stamp = stamp
+        it.version = version
         it.board.load(replica, now, now + 30.seconds)
     }
 
     companion object {
-        fun running(task: TaskId, attempt: Long) = Piece(task, attempt, PieceStatus.RUNNING, null, false)
-        fun ended(task: TaskId, attempt: Long, cause: Cause) = Piece(task, attempt, PieceStatus.ENDED, cause, false)
+        fun running(task: TaskId, attempt: Long) = ReportedTask(task, attempt, TaskState.RUNNING, null, false)
+        fun ended(task: TaskId, attempt: Long, cause: Cause) = ReportedTask(task, attempt, TaskState.ENDED, cause, false)
     }
 }
--- a/src/test/kotlin/umberslip/ownership/AuthorityTest.kt
+++ b/src/test/kotlin/umberslip/ownership/AuthorityTest.kt
@@ -15,8 +15,8 @@
 import umberslip.settings.Timings
 import umberslip.settings.Tuning
 import umberslip.sim.Samples
-import umberslip.state.Hold
-import umberslip.state.Stamp
+import umberslip.state.Lease
+import umberslip.state.Version
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -28,11 +28,11 @@
     fun `entitlement ends by the older of renewal and read, whatever their order`() = runBlocking<Unit> {
         checkAll(PropTestConfig(seed = 8, iterations = 300), Arb.int(0..60_000), Arb.int(0..60_000), Arb.int(0..90_000)) { renewed, read, now ->
             val a = Authority(timings)
-            a.won(Term(1), Stamp(1), Hold(1), 0.seconds)
+            a.won(Term(1), Version(1), Lease(1), 0.seconds)
             a.renewed(renewed.milliseconds)
             a.read(read.milliseconds)
             val at = now.milliseconds
-            assertEquals(at < minOf(renewed, read).milliseconds + timings.hold - timings.margin, a.mayStart(at))
+            assertEquals(at < minOf(renewed, read).milliseconds + timings.ownerLease - timings.margin, a.mayStart(at))
             if (a.mayAnswer(at)) {
                 // A cancellation told just after the last read bites in time: the lease that this
                 // answer renews ends within the time that a cancellation has.
@@ -45,7 +45,7 @@
     fun `nothing is allowed once ownership is lost`() {
         val a = Authority(timings)
         assertFalse(a.mayAnswer(0.seconds))
-        a.won(Term(1), Stamp(1), Hold(1), 0.seconds)
+        a.won(Term(1), Version(1), Lease(1), 0.seconds)
         assertTrue(a.mayStart(1.seconds))
         a.outranked()
         assertFalse(a.mayStart(1.seconds) || a.mayAnswer(1.seconds))
@@ -56,7 +56,7 @@
         // Found on a day of half as many machines again: the last good word of the others, heard at the
         // beginning of an outage, made the owner leave its workers, and none could follow it.
         val a = Authority(timings)
-        a.won(Term(1), Stamp(1), Hold(1), 0.seconds)
+        a.won(Term(1), Version(1), Lease(1), 0.seconds)
         fun after(seconds: Double, sight: Sight) = a.servesOthersOnly(seconds.seconds, sight)
         assertFalse(after(2.0, Sight.SERVED), "within its own hold")
         assertFalse(after(3.1, Sight.SERVED))
--- a/src/test/kotlin/umberslip/records/RecordsTest.kt
+++ b/src/test/kotlin/umberslip/records/RecordsTest.kt
@@ -20,8 +20,8 @@
 import umberslip.sim.Samples
 import umberslip.state.Change
 import umberslip.state.Entry
-import umberslip.state.Hold
-import umberslip.state.Stamp
+import umberslip.state.Lease
+import umberslip.state.Version
 import java.math.BigInteger
 import java.time.Instant
 import java.util.BitSet
@@ -62,7 +62,7 @@
         val chunk = ChunkRecord(BitSet().apply { set(0); set(9) }, listOf(Placement(3, 2, HostName("h-1"))), 2, 77)
         val log = LogRecord(78, mapOf(spec.id to LogRow(listOf(Placement(4, 3, HostName("h-2"))), listOf(Ended(3, 2, true), Ended(5, 1, false)))))
         val written = mapOf(
-            "spec" to spec.toMap(), "job" to job.toMap(), "chunk" to chunk.toMap(), "log" to log.toMap(), "owner" to OwnerRecord("c-1", Term(4), Hold(9)).toMap(),
+            "spec" to spec.toMap(), "job" to job.toMap(), "chunk" to chunk.toMap(), "log" to log.toMap(), "owner" to OwnerRecord("c-1", Term(4), Lease(9)).toMap(),
             "end" to EndRecord(End.DONE, 3).toMap(), "hosts" to HostsRecord(setOf(HostName("h-1"))).toMap(),
         )
         for ((kind, fields) in production) assertEquals(fields, written.getValue(kind).keys, kind)
@@ -161,11 +161,11 @@
             val random = Random(seed)
             val last = HashMap<String, Change>()
             val all = ArrayList<Change>()
-            for (stamp in 1L..40L) {
+            for (version in 1L..40L) {
                 val spec = specs[random.nextInt(specs.size)]
                 val key = Keys.job(spec.id)
-                val change = if (last[key] is Change.Put && random.nextInt(3) == 0) Change.Drop(key, Stamp(stamp))
-                else Change.Put(key, wire(JobRecord(spec, Instant.EPOCH, random.nextBoolean()).toMap()), Stamp(stamp))
+                val change = if (last[key] is Change.Put && random.nextInt(3) == 0) Change.Drop(key, Version(version))
+                else Change.Put(key, wire(JobRecord(spec, Instant.EPOCH, random.nextBoolean()).toMap()), Version(version))
                 last[key] = change
                 all += change
             }
@@ -176,13 +176,13 @@
                 val old = all[random.nextInt(i + 1)]
                 if (old is Change.Drop) replica.apply(old)
             }
-            val want = last.values.filterIsInstance<Change.Put>().map { it.stamp }.toSet()
-            assertEquals(want, replica.jobs().values.map { it.stamp }.toSet())
+            val want = last.values.filterIsInstance<Change.Put>().map { it.version }.toSet()
+            assertEquals(want, replica.jobs().values.map { it.version }.toSet())
             // Reading everything anew gives the same.
             val anew = Replica()
             anew.apply(all.first())
-            anew.replace(last.values.filterIsInstance<Change.Put>().map { Entry(it.key, it.data, it.stamp) })
-            assertEquals(want, anew.jobs().values.map { it.stamp }.toSet())
+            anew.replace(last.values.filterIsInstance<Change.Put>().map { Entry(it.key, it.data, it.version) })
+            assertEquals(want, anew.jobs().values.map { it.version }.toSet())
         }
     }
 
@@ -190,10 +190,10 @@
     fun `a corrupt record is left alone and its neighbours are read`() {
         val spec = Samples.job(Random(3), 3)
         val replica = Replica()
-        replica.apply(Change.Put("u/job/run-000001", mapOf("spec" to 5L), Stamp(1)))
-        replica.apply(Change.Put(Keys.job(spec.id), wire(JobRecord(spec, Instant.EPOCH, false).toMap()), Stamp(2)))
-        replica.apply(Change.Put(Keys.OWNER, wire(OwnerRecord("c-1", Term(4), Hold(9)).toMap()), Stamp(3)))
+        replica.apply(Change.Put("u/job/run-000001", mapOf("spec" to 5L), Version(1)))
+        replica.apply(Change.Put(Keys.job(spec.id), wire(JobRecord(spec, Instant.EPOCH, false).toMap()), Version(2)))
+        replica.apply(Change.Put(Keys.OWNER, wire(OwnerRecord("c-1", Term(4), Lease(9)).toMap()), Version(3)))
         assertEquals(setOf(spec.id), replica.jobs().keys)
-        assertEquals(OwnerRecord("c-1", Term(4), Hold(9)), replica.owner?.value)
+        assertEquals(OwnerRecord("c-1", Term(4), Lease(9)), replica.owner?.value)
     }
 }
--- a/src/test/kotlin/umberslip/settings/SettingsTest.kt
+++ b/src/test/kotlin/umberslip/settings/SettingsTest.kt
@@ -42,7 +42,7 @@
 
     @Test
     fun `operators' settings are checked too`() {
-        assertEquals(3.seconds, Tuning.parse("[ownership]\nhold_s = 3.0").hold)
+        assertEquals(3.seconds, Tuning.parse("[ownership]\nhold_s = 3.0").ownerLease)
         for (bad in listOf("[ownership]\nholds = 3", "[other]\na = 1", "ownership = 1", "[fleet]\ndrain_s = -1", "[fleet]\ndrain_s = \"x\"", "[ownership]\nhold_s =")) {
             assertThrows(BadSettings::class.java, { Tuning.parse(bad) }, bad)
         }
@@ -51,8 +51,8 @@
     @Test
     fun `a hold that leaves no time for a cancellation is refused`() {
         val workers = Settings.parse(json).workers
-        assertEquals(workers.cancel, Timings(workers, Tuning()).run { hold + grace + lease + margin })
-        assertThrows(BadSettings::class.java) { Timings(workers, Tuning(hold = 25.seconds)) }
+        assertEquals(workers.cancel, Timings(workers, Tuning()).run { ownerLease + grace + lease + margin })
+        assertThrows(BadSettings::class.java) { Timings(workers, Tuning(ownerLease = 25.seconds)) }
     }
 
     @Test
--- a/src/test/kotlin/umberslip/sim/MeetingsTest.kt
+++ b/src/test/kotlin/umberslip/sim/MeetingsTest.kt
@@ -89,7 +89,7 @@
         }),
 
         /** Small jobs whose tasks end far apart, across changes of owner. */
-        FAR_APART(length = 6.0, jobs = { job, random -> job.copy(pieces = random.nextInt(2, 4), spread = false) }, bring = {
+        FAR_APART(length = 6.0, jobs = { job, random -> job.copy(tasks = random.nextInt(2, 4), spread = false) }, bring = {
             repeat(5) {
                 pause(9)
                 restartOwner()
@@ -219,7 +219,7 @@
         }),
 
         /** The limits fall while jobs of many tasks are half done, in an outage, at a change of owner. */
-        LIMITS_LOWERED(length = 2.0, chained = true, jobs = { job, random -> if (random.nextInt(4) == 0) job.copy(pieces = 150, cpus = 0.1, memoryGb = 0.1, types = null, zone = null, team = "green") else job }, bring = {
+        LIMITS_LOWERED(length = 2.0, chained = true, jobs = { job, random -> if (random.nextInt(4) == 0) job.copy(tasks = 150, cpus = 0.1, memoryGb = 0.1, types = null, zone = null, team = "green") else job }, bring = {
             world.state.out = true
             pause(4)
             world.lowered = true
@@ -284,7 +284,7 @@
                 if (random.nextInt(3) == 0) {
                     val job = Samples.job(random, number++)
                     val needed = if (meeting.chained) made.takeLast(7).shuffled(random).take(random.nextInt(0, 3)).map { it.id } else emptyList()
-                    val spec = meeting.jobs(job.copy(expectedSeconds = job.expectedSeconds * meeting.length, pieces = minOf(job.pieces, 6), awaits = needed), random)
+                    val spec = meeting.jobs(job.copy(expectedSeconds = job.expectedSeconds * meeting.length, tasks = minOf(job.tasks, 6), awaits = needed), random)
                     made += spec
                     world.user(spec, null)
                 }
--- a/src/test/kotlin/umberslip/sim/RulesTest.kt
+++ b/src/test/kotlin/umberslip/sim/RulesTest.kt
@@ -43,7 +43,7 @@
         var next = Duration.ZERO
         while (world.now() < 150.seconds) {
             if (world.now() >= next) {
-                world.user(Samples.job(random, number++).let { it.copy(expectedSeconds = it.expectedSeconds * length, pieces = minOf(it.pieces, 30)) }, if (random.nextInt(5) == 0) random.nextInt(1, 40).seconds else null)
+                world.user(Samples.job(random, number++).let { it.copy(expectedSeconds = it.expectedSeconds * length, tasks = minOf(it.tasks, 30)) }, if (random.nextInt(5) == 0) random.nextInt(1, 40).seconds else null)
                 next = world.now() + random.nextInt(1, 8).seconds * 3 / machines
             }
             trouble(world, random)
--- a/src/test/kotlin/umberslip/sim/Samples.kt
+++ b/src/test/kotlin/umberslip/sim/Samples.kt
@@ -51,21 +51,21 @@
 
     /** A job of a fleet's size: many tasks that take little of a machine. */
     fun fleetJob(random: Random, number: Int, teams: List<String>): JobSpec = job(random, number).copy(
-        team = teams.random(random), pieces = if (random.nextInt(10) == 0) random.nextInt(200, 600) else random.nextInt(20, 120),
+        team = teams.random(random), tasks = if (random.nextInt(10) == 0) random.nextInt(200, 600) else random.nextInt(20, 120),
         cpus = listOf(1.0, 2.0)[random.nextInt(2)], memoryGb = 1.9, types = null, zone = null, oneZone = false, spread = false, spot = true,
         expectedSeconds = random.nextDouble(10.0, 40.0),
     )
 
     fun job(random: Random, number: Int): JobSpec {
         val fits = listOf(listOf("small"), listOf("large"), null, null)
-        val pieces = if (random.nextInt(8) == 0) random.nextInt(40, 120) else random.nextInt(1, 12)
+        val tasks = if (random.nextInt(8) == 0) random.nextInt(40, 120) else random.nextInt(1, 12)
         return JobSpec(
             id = JobId("run-%06d".format(number)),
             jobClass = "batch",
             team = if (random.nextBoolean()) "blue" else "green",
             shape = Shape.ARRAY,
             urgency = Urgency.entries[random.nextInt(Urgency.entries.size)],
-            pieces = pieces,
+            tasks = tasks,
             cpus = listOf(0.5, 1.0, 2.0, 4.0)[random.nextInt(4)],
             gpus = 0.0,
             memoryGb = listOf(0.5, 2.0, 4.0)[random.nextInt(3)],
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -35,9 +35,9 @@
 import umberslip.state.Changes
 import umberslip.state.Entry
 import umberslip.state.Guard
-import umberslip.state.Hold
+import umberslip.state.Lease
 import umberslip.state.Page
-import umberslip.state.Stamp
+import umberslip.state.Version
 import umberslip.state.StateService
 import umberslip.state.TxnResult
 import umberslip.state.Write
@@ -63,80 +63,80 @@
     }
 }
 
-/** The state service's contract, in memory, with holds that run out. */
+/** The state service's contract, in memory, with leases that run out. */
 class StoredState(private val size: WorldSize, private val now: () -> Duration) {
-    private class Row(val data: Any?, val stamp: Long, val hold: Long?)
-    private class HoldRow(val ttl: Duration, var until: Duration)
+    private class Row(val data: Any?, val version: Long, val lease: Long?)
+    private class LeaseRow(val ttl: Duration, var until: Duration)
 
     private val rows = java.util.TreeMap<String, Row>()
-    private val holds = HashMap<Long, HoldRow>()
+    private val leases = HashMap<Long, LeaseRow>()
     private val log = ArrayList<Change>()
-    private var epoch = 0L
-    private var nextHold = 0L
+    private var revision = 0L
+    private var nextLease = 0L
     var out = false
         set(value) {
-            if (field && !value) holds.values.forEach { it.until = now() + it.ttl }
+            if (field && !value) leases.values.forEach { it.until = now() + it.ttl }
             field = value
         }
 
     fun expire() {
         if (out) return
-        for ((id, hold) in holds.toList()) if (hold.until <= now()) end(id)
+        for ((id, lease) in leases.toList()) if (lease.until <= now()) end(id)
     }
 
     fun end(id: Long) {
-        if (holds.remove(id) == null) return
-        rows.filterValues { it.hold == id }.keys.toList().forEach {
-            epoch++
+        if (leases.remove(id) == null) return
+        rows.filterValues { it.lease == id }.keys.toList().forEach {
+            revision++
             remove(it)
         }
     }
 
     private fun remove(key: String) {
-        if (rows.remove(key) != null) log += Change.Drop(key, Stamp(epoch))
+        if (rows.remove(key) != null) log += Change.Drop(key, Version(revision))
     }
 
-    fun get(key: String): Entry? = rows[key]?.let { Entry(key, it.data, Stamp(it.stamp)) }
+    fun get(key: String): Entry? = rows[key]?.let { Entry(key, it.data, Version(it.version)) }
 
     fun list(prefix: String, after: String?): Page {
         val all = rows.tailMap(after ?: "", after == null).filterKeys { it.startsWith(prefix) }.entries
-        val page = all.take(size.pageItems).map { Entry(it.key, it.value.data, Stamp(it.value.stamp)) }
-        return Page(page, all.size > size.pageItems, epoch)
+        val page = all.take(size.pageItems).map { Entry(it.key, it.value.data, Version(it.value.version)) }
+        return Page(page, all.size > size.pageItems, revision)
     }
 
     fun changes(prefix: String, after: Long): Changes? {
-        val oldest = if (log.size > size.changesKept) log[log.size - size.changesKept].stamp.value else 0
+        val oldest = if (log.size > size.changesKept) log[log.size - size.changesKept].version.value else 0
         if (after < oldest) return null
-        return Changes(epoch, log.takeLastWhile { it.stamp.value > after }.filter { it.key.startsWith(prefix) })
+        return Changes(revision, log.takeLastWhile { it.version.value > after }.filter { it.key.startsWith(prefix) })
     }
 
     fun txn(guards: List<Guard>, writes: List<Write>): TxnResult {
-        val failed = guards.filter { (rows[it.key]?.stamp ?: 0L) != it.stamp.value }.map { it.key }
+        val failed = guards.filter { (rows[it.key]?.version ?: 0L) != it.version.value }.map { it.key }
         if (failed.isNotEmpty()) return TxnResult.Refused(failed)
-        if (writes.any { it is Write.Put && it.hold != null && it.hold.id !in holds }) return TxnResult.NoHold
-        if (writes.isEmpty()) return TxnResult.Applied(Stamp(epoch))
-        epoch++
+        if (writes.any { it is Write.Put && it.lease != null && it.lease.id !in leases }) return TxnResult.NoLease
+        if (writes.isEmpty()) return TxnResult.Applied(Version(revision))
+        revision++
         for (w in writes) {
             when (w) {
                 is Write.Drop -> remove(w.key)
                 is Write.Put -> {
                     // Through the codec, as on the wire.
                     val data = Documents.readCbor(Documents.writeCbor(w.data))
-                    rows[w.key] = Row(data, epoch, w.hold?.id)
-                    log += Change.Put(w.key, data, Stamp(epoch))
+                    rows[w.key] = Row(data, revision, w.lease?.id)
+                    log += Change.Put(w.key, data, Version(revision))
                 }
             }
         }
-        return TxnResult.Applied(Stamp(epoch))
+        return TxnResult.Applied(Version(revision))
     }
 
-    fun open(ttl: Duration): Hold {
-        holds[++nextHold] = HoldRow(ttl, now() + ttl)
-        return Hold(nextHold)
+    fun open(ttl: Duration): Lease {
+        leases[++nextLease] = LeaseRow(ttl, now() + ttl)
+        return Lease(nextLease)
     }
 
-    fun renew(hold: Hold): Boolean {
-        val row = holds[hold.id] ?: return false
+    fun renew(lease: Lease): Boolean {
+        val row = leases[lease.id] ?: return false
         row.until = now() + row.ttl
         return true
     }
@@ -151,9 +151,9 @@
 }
 
 class SimMachine(val name: String, val offer: Offer, val bornAt: Duration, val upAt: Duration) {
-    var shift = 1L
+    var session = 1L
     var counter = 0L
-    var warrant = 0L
+    var token = 0L
     var lastAnswered = Duration.ZERO
     var target = 0
     var gone = false
@@ -165,7 +165,7 @@
     /** It reaches no controller until then. */
     var muteUntil = Duration.ZERO
     var sick = false
-    val pieces = LinkedHashMap<TaskId, OnMachine>()
+    val tasks = LinkedHashMap<TaskId, OnMachine>()
 }
 
 /**
@@ -338,11 +338,11 @@
             return call(true) { state.txn(guards, writes) }.also { if (it is TxnResult.Applied && isOwners(guards, writes)) ownWrites[i]++ }
         }
 
-        private fun isOwners(guards: List<Guard>, writes: List<Write>) = guards.any { it.key == "u/owner" && it.stamp != Stamp.NONE } && writes.none { it.key == "u/fleet" }
+        private fun isOwners(guards: List<Guard>, writes: List<Write>) = guards.any { it.key == "u/owner" && it.version != Version.NONE } && writes.none { it.key == "u/fleet" }
 
-        override suspend fun openHold(ttl: Duration) = call(false) { state.open(ttl) }
-        override suspend fun renew(hold: Hold) = call(true) { state.renew(hold) }
-        override suspend fun endHold(hold: Hold) = call(true) { state.end(hold.id) }
+        override suspend fun openLease(ttl: Duration) = call(false) { state.open(ttl) }
+        override suspend fun renew(lease: Lease) = call(true) { state.renew(lease) }
+        override suspend fun endLease(lease: Lease) = call(true) { state.end(lease.id) }
     }
 
     private inner class CloudLink(private val i: Int) : Cloud {
@@ -434,9 +434,9 @@
     /** Ends and comes back at once, with nothing on it, and perhaps with no memory of its sessions. */
     fun reboot(machine: SimMachine, blank: Boolean) {
         empty(machine)
-        machine.shift = if (blank) 1 else machine.shift + 1
+        machine.session = if (blank) 1 else machine.session + 1
         if (blank) machine.counter = 0
-        if (blank) machine.warrant = 0
+        if (blank) machine.token = 0
         machine.lastAnswered = now()
     }
 
@@ -459,12 +459,12 @@
     private fun lease(m: SimMachine) {
         if (now() - m.lastAnswered <= lease) return
         empty(m)
-        m.shift++
+        m.session++
         m.lastAnswered = now()
     }
 
     private fun work(m: SimMachine) {
-        for (p in m.pieces.values) {
+        for (p in m.tasks.values) {
             if (p.status == "fetching" && p.ready <= now()) {
                 p.status = "running"
                 begins(m, p)
@@ -474,7 +474,7 @@
                 if (!m.sick) {
                     val all = done.getOrPut(p.spec.id.value) { HashSet() }
                     all.add(p.task.index)
-                    if (all.size == p.spec.pieces && random.nextDouble() < cancelAtEnd) cancel(p.spec.id.value)
+                    if (all.size == p.spec.tasks && random.nextDouble() < cancelAtEnd) cancel(p.spec.id.value)
                 }
             }
         }
@@ -482,12 +482,12 @@
 
     private suspend fun report(m: SimMachine) {
         val sent = now()
-        val shift = m.shift
+        val session = m.session
         m.counter++
         val body = mapOf(
             "host" to m.name, "endpoint" to "", "hosttype" to m.offer.type, "hall" to m.offer.zone, "reclaimable" to m.offer.spot,
-            "shift" to m.shift, "counter" to m.counter, "warrant" to m.warrant, "warning_s" to null,
-            "pieces" to m.pieces.values.map { mapOf("piece" to it.task.toString(), "try" to it.attempt, "status" to it.status, "cause" to it.cause) },
+            "shift" to m.session, "counter" to m.counter, "warrant" to m.token, "warning_s" to null,
+            "pieces" to m.tasks.values.map { mapOf("piece" to it.task.toString(), "try" to it.attempt, "status" to it.status, "cause" to it.cause) },
         )
         val to = m.target
         val answer = withTimeoutOrNull(4000) { deliver(to, m, body) }
@@ -499,10 +499,10 @@
             if (next < 0) delay(1000)
             return
         }
-        if (m.hungUntil > now() || m.shift != shift) return
+        if (m.hungUntil > now() || m.session != session) return
         val f = Fields.of(Documents.readCbor(Documents.writeCbor(answer.body)))
-        if (f.long("warrant") < m.warrant) return
-        m.warrant = f.long("warrant")
+        if (f.long("warrant") < m.token) return
+        m.token = f.long("warrant")
         m.lastAnswered = sent
         f.maps("orders").forEach { order(m, it) }
     }
@@ -547,7 +547,7 @@
     private fun order(m: SimMachine, f: Fields) {
         val task = TaskId.parse(f.text("piece")) ?: return broke("an order for ${f.text("piece")}")
         val attempt = f.long("try")
-        val here = m.pieces[task]
+        val here = m.tasks[task]
         when (f.text("verb")) {
             "start" -> when {
                 here != null && here.attempt == attempt -> Unit
@@ -560,11 +560,11 @@
                     p.ready = now() + random.nextLong(100, 2500).milliseconds
                     val known = done[task.job.value]?.contains(task.index) == true
                     p.ends = p.ready + if (known) Duration.ZERO else (spec.expectedSeconds * random.nextDouble(0.3, 2.0)).seconds
-                    m.pieces[task] = p
+                    m.tasks[task] = p
                 }
             }
             "stop" -> if (here != null && here.attempt == attempt && here.status != "ended") exit(m, here, "halted")
-            "clear" -> if (here != null && here.attempt == attempt && here.status == "ended") m.pieces.remove(task)
+            "clear" -> if (here != null && here.attempt == attempt && here.status == "ended") m.tasks.remove(task)
         }
     }
 
@@ -579,8 +579,8 @@
     }
 
     private fun empty(m: SimMachine) {
-        m.pieces.values.forEach { leave(m, it) }
-        m.pieces.clear()
+        m.tasks.values.forEach { leave(m, it) }
+        m.tasks.clear()
     }
 
     private fun leave(m: SimMachine, p: OnMachine) {
@@ -611,7 +611,7 @@
         // By the record, not by what is on the machines: a done that is about to be written does not count.
         for (needed in p.spec.awaits) {
             val end = state.get("end/${needed.value}")?.let { Fields.of(it.data).text("status") }
-            if (end != "done" || (done[needed.value]?.size ?: 0) < specs.getValue(needed.value).pieces) broke("too_early: ${p.task} while ${needed.value} is ${end ?: "not over"}")
+            if (end != "done" || (done[needed.value]?.size ?: 0) < specs.getValue(needed.value).tasks) broke("too_early: ${p.task} while ${needed.value} is ${end ?: "not over"}")
         }
     }
 
@@ -627,7 +627,7 @@
     }
 
     private fun check(m: SimMachine) {
-        for (p in m.pieces.values) {
+        for (p in m.tasks.values) {
             if (!isOn(p)) continue
             toldCancelled[p.spec.id.value]?.let {
                 if (now() - it > cancelWithin && now() - m.lastAnswered <= lease) broke("ran_cancelled: ${p.task} on ${m.name}")
@@ -712,7 +712,7 @@
         for (id in accepted) {
             val spec = specs.getValue(id)
             val on = running[id].orEmpty().values.sumOf { it.size }
-            val waits = id !in toldDone && id !in askedToCancel && spec.awaits.all { it.value in toldDone } && on + (done[id]?.size ?: 0) < spec.pieces
+            val waits = id !in toldDone && id !in askedToCancel && spec.awaits.all { it.value in toldDone } && on + (done[id]?.size ?: 0) < spec.tasks
             val room = if (waits) room(spec) else null
             if (room == null) {
                 idleSince.remove(id)
@@ -729,7 +729,7 @@
         return machines.values.firstOrNull { m ->
             if (m.gone || m.sick || m.upAt > now()) return@firstOrNull false
             val flavor = size.flavors.first { it.label == m.offer.type }
-            val open = m.pieces.values.filter { it.status != "ended" }
+            val open = m.tasks.values.filter { it.status != "ended" }
             (spec.types == null || m.offer.type in spec.types.orEmpty()) && (spec.zone == null || spec.zone == m.offer.zone) && (spec.spot || !m.offer.spot) &&
                 (!spec.oneZone || zones.all { it == m.offer.zone }) && zones.count { it == m.offer.zone } < spec.maxPerZone &&
                 flavor.cpus - open.sumOf { it.spec.cpus } >= spec.cpus && flavor.memoryGb - open.sumOf { it.spec.memoryGb } >= spec.memoryGb
@@ -742,7 +742,7 @@
         val crossed = maxOf(toldDone[id] ?: Duration.ZERO, toldCancelled[id] ?: Duration.ZERO) >= asked && word in setOf("queued", "running")
         if (id in toldDone && word != "done" && !crossed) broke("went_back: $id was done, now $word")
         if (id in toldCancelled && word != "aborted" && !crossed) broke("went_back: $id was cancelled, now $word")
-        if (word == "done" && toldDone.putIfAbsent(id, now()) == null && (done[id]?.size ?: 0) < specs.getValue(id).pieces) broke("not_done: $id")
+        if (word == "done" && toldDone.putIfAbsent(id, now()) == null && (done[id]?.size ?: 0) < specs.getValue(id).tasks) broke("not_done: $id")
         if (word == "queued" || word == "running") {
             // Asked after its user was told of a cancellation that this job goes with.
             lineage(id).firstOrNull { (toldCancelled[it] ?: Duration.INFINITE) < asked }?.let { broke("orphaned: $id is $word while $it is cancelled") }
@@ -773,7 +773,7 @@
     fun open(): String = (accepted - toldDone.keys - toldCancelled.keys).joinToString("\n") { id ->
         "$id ${specs[id]} done ${done[id]?.size ?: 0}"
     } + "\n" + upMachines().joinToString("\n") { m ->
-        "${m.name} ${m.offer} sick ${m.sick} hung ${m.hungUntil > now()} ${m.pieces.values.map { "${it.task} ${it.status}" }}"
+        "${m.name} ${m.offer} sick ${m.sick} hung ${m.hungUntil > now()} ${m.tasks.values.map { "${it.task} ${it.status}" }}"
     }
 
     fun run(time: Duration) {
