--- a/src/main/kotlin/umberslip/admission/Admission.kt
+++ b/src/main/kotlin/umberslip/admission/Admission.kt
@@ -147,40 +147,38 @@
             message.respond(Response.later(2, "too many submissions at once"))
             return
         }
-        answer(message.respond) {
-            // What was accepted once is never refused later, whatever the machine types say now, or it names.
-            val known = if (objection != null || spec.awaits.isNotEmpty()) status(spec.id).takeIf { it.status != 404 } else null
-            val refusal = if (known == null) objection?.let { Response.error(422, it) } ?: refusal(spec) else null
-            if (known != null) {
-                known
-            } else if (refusal != null) {
-                refusal
-            } else {
-                val creation = Creation(spec, wallClock(), CompletableDeferred())
-                queue.addLast(creation)
-                create()
-                when (creation.answer.await()) {
-                    CreateResult.CREATED -> {
-                        accepted.increment()
-                        Response(201, mapOf("uid" to spec.id.value, "status" to "queued"))
-                    }
-                    CreateResult.KNOWN -> status(spec.id)
-                    CreateResult.UNDECIDED -> undecided()
-                }
+        answer(message.respond) { decide(spec, objection) }
+    }
+
+    private suspend fun decide(spec: JobSpec, objection: String?): Response {
+        val tooLarge = bytes(spec) > settings.stateLimits.valueBytes
+        if (objection != null || tooLarge || spec.awaits.isNotEmpty()) {
+            // What was accepted once is never refused later, whatever the machine types or limits say now, or it names.
+            val records = reader.confirm() ?: return undecided()
+            status(spec.id, records).let { if (it.status != 404) return it }
+            if (tooLarge) return Response.error(400, "the job's description is too large")
+            (objection ?: neverDone(spec, records))?.let { return Response.error(422, it) }
+        }
+        val creation = Creation(spec, wallClock(), CompletableDeferred())
+        queue.addLast(creation)
+        create()
+        return when (creation.answer.await()) {
+            CreateResult.CREATED -> {
+                accepted.increment()
+                Response(201, mapOf("uid" to spec.id.value, "status" to "queued"))
             }
+            CreateResult.KNOWN -> status(spec.id)
+            CreateResult.UNDECIDED -> undecided()
         }
     }
 
-    /** Why a job cannot be kept, or names what it can never wait for; null where nothing speaks against it. */
-    private suspend fun refusal(spec: JobSpec): Response? {
-        if (bytes(spec) > settings.stateLimits.valueBytes) return Response.error(400, "the job's description is too large")
-        if (spec.awaits.isEmpty()) return null
-        val records = reader.confirm() ?: return undecided()
+    /** Why what a job awaits can never be done, or null. */
+    private suspend fun neverDone(spec: JobSpec, records: RecordView): String? {
         for (id in spec.awaits) {
-            if (id == spec.id) return Response.error(422, "awaits itself")
+            if (id == spec.id) return "awaits itself"
             val needed = records.job(id)?.value
-            if (needed == null && end(id) == null) return Response.error(422, "awaits ${id.value}, which was never accepted")
-            if (needed?.spec?.shape == Shape.DAEMON) return Response.error(422, "awaits ${id.value}, which is never done")
+            if (needed == null && end(id) == null) return "awaits ${id.value}, which was never accepted"
+            if (needed?.spec?.shape == Shape.DAEMON) return "awaits ${id.value}, which is never done"
         }
         return null
     }
@@ -251,7 +249,10 @@
     /** The job's state as of a read begun after the request came; ends may come from the cache. */
     private suspend fun status(id: JobId): Response {
         ends.getIfPresent(id)?.let { return told(200, id, it) }
-        val records = reader.confirm() ?: return undecided()
+        return status(id, reader.confirm() ?: return undecided())
+    }
+
+    private suspend fun status(id: JobId, records: RecordView): Response {
         val job = records.job(id)?.value
         if (job == null) {
             val end = end(id) ?: return Response.error(404, "no such job")
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -387,7 +387,7 @@
                         return false
                     }
                     TxnResult.NoLease, is TxnResult.Rejected -> {
-                        authority.lost("its hold has ended")
+                        authority.lost("its lease has ended")
                         return false
                     }
                 }
--- a/src/main/kotlin/umberslip/ownership/Ownership.kt
+++ b/src/main/kotlin/umberslip/ownership/Ownership.kt
@@ -169,7 +169,7 @@
             owner.value.member == member -> {
                 // A process of this name runs once at a time, so the one that took this lease has
                 // ended: its lease need not be waited out. Its late writes fail on the record's version.
-                log.info("ends the hold of this member's former process, term {}", owner.value.term.value)
+                log.info("ends the lease of this member's former process, term {}", owner.value.term.value)
                 state.endLease(owner.value.lease)
                 reader.confirm()
             }
@@ -233,7 +233,7 @@
         val lease = authority.lease ?: return
         val sent = clock.now()
         try {
-            if (state.renew(lease)) authority.renewed(sent) else authority.lost("its hold has ended")
+            if (state.renew(lease)) authority.renewed(sent) else authority.lost("its lease has ended")
         } catch (e: Unavailable) {
             log.debug("not renewed: {}", e.message)
         } catch (e: NoAnswer) {
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
@@ -21,6 +22,7 @@
 import umberslip.daemon.Controller
 import umberslip.http.Documents
 import umberslip.http.Fields
+import umberslip.http.Malformed
 import umberslip.http.NoAnswer
 import umberslip.http.Request
 import umberslip.http.Response
@@ -172,6 +174,7 @@
  * Several controllers, a state service, a cloud, workers and users in virtual time. After every
  * event the protocol's rules are checked against what really is on the machines.
  */
+@OptIn(ExperimentalCoroutinesApi::class)
 class World(seed: Int, private val mischief: Mischief, private val size: WorldSize, settingsJson: (String) -> String) {
     private val random = Random(seed)
     val scheduler = TestCoroutineScheduler()
@@ -540,10 +543,27 @@
 
     private fun hand(controller: Controller, method: String, path: String, body: Any?): CompletableDeferred<Response> {
         val answer = CompletableDeferred<Response>()
-        controller.handle(Request(method, path, if (body == null) ByteArray(0) else Documents.writeCbor(body))) { answer.complete(it) }
+        try {
+            controller.handle(Request(method, path, if (body == null) ByteArray(0) else Documents.writeCbor(body))) { answer.complete(it) }
+        } catch (e: Malformed) {
+            // As the HTTP server does.
+            answer.complete(Response.error(400, e.message ?: "malformed"))
+        }
         return answer
     }
 
+    /** Users upload what workers run. */
+    fun upload(spec: JobSpec) {
+        specs[spec.id.value] = spec
+    }
+
+    /** One request to a controller, and its answer. */
+    fun ask(controller: Int, method: String, path: String, body: Any?): Response {
+        val answer = hand(requireNotNull(controllers[controller]), method, path, body)
+        while (!answer.isCompleted) scheduler.advanceTimeBy(10.milliseconds)
+        return answer.getCompleted()
+    }
+
     private fun order(m: SimMachine, f: Fields) {
         val task = TaskId.parse(f.text("piece")) ?: return broke("an order for ${f.text("piece")}")
         val attempt = f.long("try")
