--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -331,14 +331,23 @@
                     delay(random.nextLong(2000, 12_000))
                     state.expire()
                     if (state.out) return@launch
-                    val result = state.txn(guards, writes)
+                    val result = apply(guards, writes)
                     // Whatever was decided since then did not know of it. A note on booting machines is a hint.
                     if (result is TxnResult.Applied && isOwners(guards, writes) && ownWrites[i] > before) broke("a late write of c-$i came through after newer ones: ${writes.map { it.key }}")
                 }
                 delay(1000)
                 throw NoAnswer("late")
             }
-            return call(true) { state.txn(guards, writes) }.also { if (it is TxnResult.Applied && isOwners(guards, writes)) ownWrites[i]++ }
+            return call(true) { apply(guards, writes) }.also { if (it is TxnResult.Applied && isOwners(guards, writes)) ownWrites[i]++ }
+        }
+
+        /** What only an owner writes comes through only while the record names it. */
+        private fun apply(guards: List<Guard>, writes: List<Write>): TxnResult {
+            val owner = owner()
+            val result = state.txn(guards, writes)
+            val owned = writes.filter { w -> listOf("u/log/", "u/run/", "u/condemned", "u/fleet").any { w.key.startsWith(it) } }
+            if (result is TxnResult.Applied && owned.isNotEmpty() && owner != i) broke("c-$i writes ${owned.map { it.key }} while ${owner?.let { "c-$it" } ?: "nobody"} owns")
+            return result
         }
 
         private fun isOwners(guards: List<Guard>, writes: List<Write>) = guards.any { it.key == "u/owner" && it.version != Version.NONE } && writes.none { it.key == "u/fleet" }
