--- a/src/test/kotlin/umberslip/dispatch/BoardTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/BoardTest.kt
@@ -1,5 +1,12 @@
 package umberslip.dispatch
 
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNotNull
@@ -9,17 +16,15 @@
 import umberslip.agents.Cause
 import umberslip.agents.Order
 import umberslip.cloud.HostName
+import umberslip.http.Documents
 import umberslip.records.Keys
 import umberslip.records.Shape
-import umberslip.state.Guard
-import umberslip.http.Documents
 import umberslip.records.TaskId
 import umberslip.records.Term
 import umberslip.records.Urgency
+import umberslip.state.Guard
 import umberslip.state.Version
 import umberslip.state.Write
-import kotlin.random.Random
-import kotlin.time.Duration.Companion.seconds
 
 class BoardTest {
     private val t = TestBoard()
@@ -264,6 +269,70 @@
         assertEquals(listOf(Version(1), Version(500)), listOf(late, next).map { batch -> batch.guards.single { it.key == Keys.OWNER }.version })
     }
 
+    /** A machine as it is, with reports that are on their way or come again later. */
+    private class Truth(var token: Term) {
+        val on = LinkedHashMap<TaskId, Long>()
+        var counter = 0L
+        val late = ArrayList<Triple<Long, Term, Map<TaskId, Long>>>()
+
+        /** The last answer of a former owner, which may still arrive. */
+        var underWay: Pair<Term, List<Order>>? = null
+
+        fun obey(orders: List<Order>) {
+            for (order in orders) when (order) {
+                is Order.Start -> on.putIfAbsent(order.task, order.attempt)
+                is Order.Stop -> on.remove(order.task, order.attempt)
+                is Order.Clear -> Unit
+            }
+        }
+    }
+
+    @Test
+    fun `what is on a machine is held for it whatever reports of former terms come`() = runBlocking<Unit> {
+        var greeted = 0
+        checkAll(PropTestConfig(seed = 5, iterations = 300), Arb.long()) { seed ->
+            val random = Random(seed)
+            var owner = TestBoard()
+            val truth = Truth(owner.term)
+            val jobs = List(4) { owner.job { it.copy(tasks = 3, cpus = 0.5, memoryGb = 0.1) } }.map { it.spec.id }
+
+            fun deliver(counter: Long, token: Term, seen: Map<TaskId, Long>, heard: Boolean) {
+                val verdict = owner.report("m", *seen.map { (task, attempt) -> TestBoard.running(task, attempt) }.toTypedArray(), token = token, counter = counter)
+                if (verdict == Verdict.GREET) greeted++
+                if (verdict == Verdict.ANSWER) {
+                    owner.deal("m")
+                    owner.write()
+                    val orders = owner.orders("m")
+                    if (heard) truth.obey(orders)
+                    truth.underWay = if (heard) null else owner.term to orders
+                }
+                if (heard && (verdict == Verdict.ANSWER || verdict == Verdict.GREET)) truth.token = owner.term
+            }
+            repeat(25) {
+                owner.now += 1.seconds
+                when (random.nextInt(8)) {
+                    0 -> owner = owner.successor()
+                    1 -> truth.late.removeFirstOrNull()?.let { (counter, token, seen) -> deliver(counter, token, seen, heard = false) }
+                    3 -> truth.underWay?.let { (term, orders) -> if (term >= truth.token) truth.obey(orders) }.also { truth.underWay = null }
+                    2 -> owner.board.jobs[jobs.random(random)]?.let(owner::cancel)
+                    else -> {
+                        val seen = truth.on.toMap()
+                        val counter = ++truth.counter
+                        val token = truth.token
+                        if (random.nextInt(3) == 0) truth.late += Triple(counter, token, seen)
+                        // Held up before it arrives, or answered; the answer may be lost.
+                        if (random.nextInt(5) > 0) deliver(counter, token, seen, heard = random.nextInt(5) > 0)
+                    }
+                }
+                for ((task, attempt) in truth.on) {
+                    val a = owner.board.jobs[task.job]?.assigned?.get(task.index)
+                    assertTrue(a != null && a.host == HostName("m") && a.attempt == attempt, "$task is on the machine and not held for it")
+                }
+            }
+        }
+        assertTrue(greeted > 100, "only $greeted reports of former terms")
+    }
+
     @Test
     fun `a batch that is rejected for its size is not written again as it is`() {
         repeat(30) { t.job { it.copy(tasks = 10, cpus = 0.01, memoryGb = 0.01) } }
--- a/src/test/kotlin/umberslip/dispatch/TestBoard.kt
+++ b/src/test/kotlin/umberslip/dispatch/TestBoard.kt
@@ -79,7 +79,10 @@
 
     fun isUnheard(): Boolean = upkeep.isUnheard(now)
 
-    fun batch(): Batch? = board.ledger.nextBatch(settings.stateLimits.txnOps, board.machines.keys, now)
+    /** Whatever an owner writes must fail once another owns. */
+    fun batch(): Batch? = board.ledger.nextBatch(settings.stateLimits.txnOps, board.machines.keys, now)?.also { batch ->
+        check(batch.guards.count { it.key == Keys.OWNER && it.version != Version.NONE } == 1) { "a batch without the owner's guard: ${batch.guards}" }
+    }
 
     /** Writes all that is due, as the state service would take it. */
     fun write(): Int {
