--- a/src/test/kotlin/umberslip/sim/MeetingsTest.kt
+++ b/src/test/kotlin/umberslip/sim/MeetingsTest.kt
@@ -20,6 +20,7 @@
         val mischief: Mischief = Mischief(lossy = 0.005, late = 0.005),
         val length: Double = 4.0,
         val chained: Boolean = false,
+        val json: (String) -> String = Samples::settingsJson,
         val jobs: (JobSpec, Random) -> JobSpec = { job, _ -> job },
         val bring: Scene.() -> Unit,
     ) {
@@ -218,8 +219,29 @@
             pause(30)
         }),
 
+        /**
+         * Controllers that know nothing of later limits, and are not asked for anything new, are replaced one by
+         * one; owners of both kinds follow one another on large values and small ones. Then the limits fall.
+         */
+        UPGRADE(length = 2.0, json = Samples::roomyJson, jobs = MANY, bring = {
+            for (i in listOf(0, 1, 2)) {
+                replace(i, Samples::loweredJson)
+                pause(7)
+                // One dies before its turn, and comes back as it was; so does the owner, whichever it is.
+                if (i < 2) replace(2, Samples::roomyJson)
+                restartOwner()
+                pause(7)
+            }
+            chained = true
+            pause(12)
+            world.lowered = true
+            restartOwner()
+            cancelOpen(2)
+            pause(20)
+        }),
+
         /** The limits fall while jobs of many tasks are half done, in an outage, at a change of owner. */
-        LIMITS_LOWERED(length = 2.0, chained = true, jobs = { job, random -> if (random.nextInt(4) == 0) job.copy(tasks = 150, cpus = 0.1, memoryGb = 0.1, types = null, zone = null, team = "green") else job }, bring = {
+        LIMITS_LOWERED(length = 2.0, chained = true, json = Samples::loweredJson, jobs = MANY, bring = {
             world.state.out = true
             pause(4)
             world.lowered = true
@@ -237,6 +259,16 @@
         var confirmed = 0
             private set
 
+        /** Whether new jobs await others. */
+        var chained = false
+
+        fun replace(controller: Int, json: (String) -> String) {
+            world.stopController(controller)
+            world.configure(controller, json)
+            world.run(random.nextInt(100, 900).milliseconds)
+            world.startController(controller)
+        }
+
         fun pause(seconds: Int) = repeat(seconds) {
             feed()
             world.run(1.seconds)
@@ -275,22 +307,23 @@
     @MethodSource("meetings")
     fun `no rule breaks where two troubles meet`(meeting: Meeting, seed: Int) {
         val random = Random(seed * 100 + meeting.ordinal)
-        val world = World(seed, meeting.mischief, WorldSize(5), if (meeting == Meeting.LIMITS_LOWERED) Samples::loweredJson else Samples::settingsJson)
+        val world = World(seed, meeting.mischief, WorldSize(5), meeting.json)
         for (i in 0..2) world.startController(i)
         var number = 0
         val made = ArrayList<JobSpec>()
+        lateinit var scene: Scene
         val feed = {
-            repeat(if (meeting.chained) 2 else 1) {
+            repeat(if (scene.chained) 2 else 1) {
                 if (random.nextInt(3) == 0) {
                     val job = Samples.job(random, number++)
-                    val needed = if (meeting.chained) made.takeLast(7).shuffled(random).take(random.nextInt(0, 3)).map { it.id } else emptyList()
+                    val needed = if (scene.chained) made.takeLast(7).shuffled(random).take(random.nextInt(0, 3)).map { it.id } else emptyList()
                     val spec = meeting.jobs(job.copy(expectedSeconds = job.expectedSeconds * meeting.length, tasks = minOf(job.tasks, 6), awaits = needed), random)
                     made += spec
                     world.user(spec, null)
                 }
             }
         }
-        val scene = Scene(world, random, feed)
+        scene = Scene(world, random, feed).also { it.chained = meeting.chained }
         scene.pause(40)
         scene.(meeting.bring)()
         scene.pause(5)
@@ -308,6 +341,11 @@
     }
 
     companion object {
+        /** Some jobs have many small tasks, so that their progress outgrows a small value. */
+        private val MANY: (JobSpec, Random) -> JobSpec = { job, random ->
+            if (random.nextInt(4) == 0) job.copy(tasks = 150, cpus = 0.1, memoryGb = 0.1, types = null, zone = null, team = "green") else job
+        }
+
         @JvmStatic
         fun meetings(): List<Array<Any>> = Meeting.entries.flatMap { meeting -> (1..2).map { arrayOf<Any>(meeting, it) } }
     }
--- a/src/test/kotlin/umberslip/sim/Samples.kt
+++ b/src/test/kotlin/umberslip/sim/Samples.kt
@@ -16,8 +16,10 @@
     )
 
     /** As [settingsJson], with a state service that may lower its limits at any time. */
-    fun loweredJson(member: String): String =
-        settingsJson(member).replace(""""value_kb":2.0,"txn_ops":8""", """"value_kb":4.0,"txn_ops":12,"next":{"write_rps":30.0,"value_kb":1.0,"txn_ops":4}""")
+    fun loweredJson(member: String): String = roomyJson(member).replace(""""txn_ops":12""", """"txn_ops":12,"next":{"write_rps":30.0,"value_kb":1.0,"txn_ops":4}""")
+
+    /** The same as a version takes it that does not know of later limits. */
+    fun roomyJson(member: String): String = settingsJson(member).replace(""""value_kb":2.0,"txn_ops":8""", """"value_kb":4.0,"txn_ops":12""")
 
     /** Few controllers, many teams, frequent reports and a slow state service with small values. */
     fun teamsFleetJson(member: String): String = json(
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -181,7 +181,7 @@
     private val dispatcher = StandardTestDispatcher(scheduler)
     private val scope = CoroutineScope(dispatcher + SupervisorJob())
     private val members = List(size.members) { "c-$it" }
-    private val settings = members.map { Settings.parse(settingsJson(it)) }
+    private val settings = members.mapTo(ArrayList()) { Settings.parse(settingsJson(it)) }
     private val lease = settings[0].workers.lease
     private val cancelWithin = settings[0].workers.cancel
     private val reportMillis = settings[0].workers.report.inWholeMilliseconds
@@ -246,6 +246,11 @@
 
     // ---- controllers ----
 
+    /** From its next start on. */
+    fun configure(controller: Int, settingsJson: (String) -> String) {
+        settings[controller] = Settings.parse(settingsJson(members[controller]))
+    }
+
     fun startController(i: Int) {
         val job = SupervisorJob()
         jobsOfControllers[i] = job
