--- a/src/main/kotlin/umberslip/dispatch/Ledger.kt
+++ b/src/main/kotlin/umberslip/dispatch/Ledger.kt
@@ -174,9 +174,9 @@
 
     /** The next writes, most needed first; null where none is due. */
     fun nextBatch(maxOps: Int, machines: Set<HostName>, now: Duration): Batch? =
-        Composer((maxOps * share).toInt().coerceAtLeast(MIN_OPS), (limits.valueBytes * share).toInt(), now).compose(machines)
+        Composer((maxOps * share).toInt().coerceAtLeast(MIN_OPS), (limits.valueBytes * share).toInt(), (MAX_TXN_BYTES * share).toInt(), now).compose(machines)
 
-    private inner class Composer(private val maxOps: Int, private val valueBytes: Int, private val now: Duration) {
+    private inner class Composer(private val maxOps: Int, private val valueBytes: Int, private val maxBytes: Int, private val now: Duration) {
         private val writes = ArrayList<Write>()
         private val guards = ArrayList<Guard>()
         private val chunks = ArrayList<Pair<Chunk, Long>>()
@@ -202,7 +202,7 @@
             val lasting = log()
             // Progress can wait and then takes fewer writes; without a free slot it makes one free.
             for (chunk in dirty) {
-                if (writes.size >= maxOps || size >= MAX_TXN_BYTES) break
+                if (writes.size >= maxOps || size >= maxBytes) break
                 if (lasting && (chunk.dirtySince ?: now) + LAZY > now) break
                 if (!chunk.job.over) add(chunk)
             }
@@ -238,16 +238,26 @@
             val due = starts.isNotEmpty() || (ends.firstOrNull { !it.job.over }?.let { now - it.since >= END_WAITS } ?: false)
             if (!due) return true
             val free = slots.asSequence().filter { it.free }.iterator()
-            val openStarts = ArrayDeque(starts)
+            val openStarts = ArrayDeque(guardable())
             val openEnds = ArrayDeque(ends.filter { !it.job.over })
             while (openStarts.isNotEmpty() || openEnds.isNotEmpty()) {
                 if (!free.hasNext()) return false
-                if (writes.size >= maxOps || size + valueBytes > MAX_TXN_BYTES) break
+                if (writes.size >= maxOps || size + valueBytes > maxBytes) break
                 if (!write(free.next(), openStarts, openEnds)) break
             }
             return true
         }
 
+        /**
+         * Guards for so many jobs fit only: the most urgent that were placed first, with all of their starts. Were
+         * it so many starts in a row, a batch would hold a few of each of some jobs, and hundreds would wait.
+         */
+        private fun guardable(): List<Assignment> {
+            val most = limits.txnOps * (GUARDS_PER_WRITE - 1) - OTHER_GUARDS - guards.size
+            val jobs = HashSet<RunningJob>()
+            return starts.sortedBy { it.job.urgency }.filter { it.job in jobs || (jobs.size < most && jobs.add(it.job)) }
+        }
+
         /** A start is recorded only if its job is not cancelled by then, whoever has told so meanwhile. */
         private fun guard(job: RunningJob) {
             if (!guarded.add(job)) return
@@ -271,7 +281,6 @@
             while (true) {
                 val a = openStarts.firstOrNull() ?: break
                 val p = Placement(a.index, a.attempt, a.host)
-                if (a.job !in guarded && guards.size + limits.txnOps + OTHER_GUARDS > limits.txnOps * GUARDS_PER_WRITE) break
                 if (!fits(a.job, LogRecord.bytes(p))) break
                 guard(a.job)
                 rows.getOrPut(a.job.spec.id) { ArrayList<Placement>() to ArrayList() }.first += p
@@ -376,7 +385,7 @@
         const val MIN_OPS = 2
         const val GUARDS_PER_WRITE = 4
 
-        /** Besides one for each write: the owner's record, and the job that is being looked at. */
+        /** Besides one for each write: the owner's record, and the machines condemned. */
         const val OTHER_GUARDS = 2
         const val GUARD_BYTES = 24
         val UNKNOWN_HOST = HostName("")
