Jobs that fail everywhere are tried one task at a time; room is kept for large starving tasks

One check was wrong and is replaced by one as strict: two jobs that failed on one machine and nowhere else made it sick at once; both may have a mistake, so it is judged 4 s later, when their other tasks have told, and the test now holds both moments.

--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -122,6 +122,8 @@
         job: RunningJob?,
         now: Duration,
     ) {
+        keptFor?.let { it.machinesKept-- }
+        job?.let { it.machinesKept++ }
         keptFor = job
         keptSince = now
     }
@@ -187,4 +189,19 @@
     }
 
     fun free(): Room? = capacity?.minus(used)
+
+    /** How long until [task] fits, if what is here ends when expected and nothing else is placed. */
+    fun timeUntilRoom(
+        task: Room,
+        now: Duration,
+    ): Duration {
+        var room = free() ?: return Duration.INFINITE
+        if (room.covers(task)) return Duration.ZERO
+        val ending = held.values.map { it to (it.left(now) ?: it.job.expectedTime) }.sortedBy { (_, left) -> left }
+        for ((assignment, left) in ending) {
+            room += assignment.room
+            if (room.covers(task)) return left.coerceAtLeast(Duration.ZERO)
+        }
+        return Duration.INFINITE
+    }
 }
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -94,7 +94,10 @@
         since: Duration,
         now: Duration,
     ): RunningJob? {
-        val first = queue.firstOrNull { it.spec.shape != Shape.GANG && it.notBefore <= now && withinLimit(it.room) }
+        val first =
+            queue.firstOrNull {
+                it.spec.shape != Shape.GANG && !it.isDoubtful && it.notBefore <= now && withinLimit(it.room)
+            }
         if (first !== head) {
             head = first
             headSince = now
@@ -156,6 +159,7 @@
     ): Boolean {
         if (machine.keptFor.let { it != null && it !== job }) return false
         if (job.notBefore > now || !free.covers(job.room)) return false
+        if (job.isDoubtful && job.assigned.isNotEmpty()) return false
         // The plan may count on a machine that cannot take the job just now; it is not to wait for ever beside one with
         // room.
         if (
@@ -234,102 +238,3 @@
         }
     }
 }
-
-/**
- * A share of the processors dealt goes to the jobs that wait longest, whatever their urgency and team,
- * and the longer they wait the larger it is. Under a lasting overload the order of urgency alone would
- * leave some of them waiting for ever; so every job is reached in bounded time. While nobody has
- * waited long, urgency decides alone.
- */
-class StarvationGuard {
-    private val queue = TreeSet(compareBy<RunningJob>({ it.cameAt }, { it.spec.id.value }))
-    private var credit = 0.0
-
-    fun refresh(job: RunningJob) {
-        if (job.waiting > 0) queue.add(job) else queue.remove(job)
-    }
-
-    fun remove(job: RunningJob) {
-        queue.remove(job)
-    }
-
-    /**
-     * The job whose turn it is as the longest waiting of those that [may] be placed; null where the turn is another's.
-     */
-    fun next(
-        now: Duration,
-        may: (RunningJob) -> Boolean,
-    ): RunningJob? {
-        if (credit <= 0) return null
-        for (job in queue) {
-            if (!isStarving(job, now)) return null
-            if (may(job)) return job
-        }
-        return null
-    }
-
-    /** [turn] says that the job was placed as the longest waiting one, not by its urgency. */
-    fun dealt(
-        job: RunningJob,
-        turn: Boolean,
-        now: Duration,
-    ) {
-        val share = queue.firstOrNull()?.let { share(now - it.cameAt) } ?: 0.0
-        val cost = job.room.cpus
-        credit = if (share <= 0) 0.0 else (credit + cost * share - if (turn) cost else 0.0).coerceIn(-BOUND, BOUND)
-    }
-
-    private fun isStarving(
-        job: RunningJob,
-        now: Duration,
-    ) = now - job.cameAt >= LONG
-
-    /** What of all dealing goes to the longest waiting, by how long the first of them has waited. */
-    private fun share(waited: Duration): Double =
-        if (waited < LONG) {
-            0.0
-        } else {
-            minOf(MOST, LEAST + (MOST - LEAST) * ((waited - LONG) / (TOO_LONG - LONG)))
-        }
-
-    private companion object {
-        const val LEAST = 0.2
-        const val MOST = 0.8
-        const val BOUND = 32.0
-        val LONG = 90.seconds
-        val TOO_LONG = 180.seconds
-    }
-}
-
-/**
- * Turns among teams: smooth weighted round-robin, by the processors dealt. Teams below their
- * guarantee go first; beyond the guarantees, only the teams with the most urgent work take turns.
- */
-object Turns {
-    fun next(candidates: Map<Dispatcher, RunningJob>): Dispatcher? {
-        if (candidates.isEmpty()) return null
-        val owed = candidates.filter { (team, job) -> team.withinGuarantee(job.room) }.keys
-        val urgent = candidates.values.minOf { it.urgency }
-        val among = owed.ifEmpty { candidates.filter { (_, job) -> job.urgency == urgent }.keys }
-        val chosen =
-            among.maxWith(
-                compareBy<Dispatcher> {
-                    it.credit + it.weight / total(among) * cost(candidates, it)
-                }.thenBy { it.team.name },
-            )
-        val cost = cost(candidates, chosen)
-        for (team in among) team.credit += team.weight / total(among) * cost
-        chosen.credit -= cost
-        return chosen
-    }
-
-    private fun total(teams: Collection<Dispatcher>): Double = teams.sumOf { it.weight }
-
-    private fun cost(
-        candidates: Map<Dispatcher, RunningJob>,
-        team: Dispatcher,
-    ): Double = candidates[team]?.room?.cpus?.coerceAtLeast(LEAST_CPUS) ?: 1.0
-
-    /** A task that takes no processors still takes a turn. */
-    private const val LEAST_CPUS = 0.1
-}
--- a/src/main/kotlin/umberslip/dispatch/Maintenance.kt
+++ b/src/main/kotlin/umberslip/dispatch/Maintenance.kt
@@ -18,10 +18,11 @@
 
     fun tick(now: Duration) {
         val silentZones by lazy(LazyThreadSafetyMode.NONE) { silentZones(now) }
+        scheduler.failures.tick(now)
         for (machine in scheduler.machines.values) {
             if (machine.leaseEnd <= now) leaseOver(machine, now) { machine.zone in silentZones }
             drain(machine, now)
-            scheduler.judge(machine)
+            scheduler.failures.judge(machine, now)
         }
         scheduler.rerank(now)
         for (job in scheduler.gathering()) scheduler.gatherInTime(job, now)
@@ -59,23 +60,13 @@
         team: Dispatcher,
         now: Duration,
     ) {
-        for (machine in scheduler.machines.values) {
-            val job = machine.keptFor ?: continue
-            if (job.spec.team != team.team.name) continue
-            val open = job.waiting > 0 && machine.usable && scheduler.jobs[job.spec.id] === job
-            // Its limit, its zone or a failure here may have come between; others are not to wait for that.
-            if (
-                open &&
-                now - machine.keptSince < KEPT &&
-                Dispatcher.allowed(job, machine) &&
-                team.withinLimit(job.room) &&
-                job.spec.id !in machine.failures
-            ) {
-                return
-            }
+        val kept = scheduler.machines.values.filter { it.keptFor?.spec?.team == team.team.name }
+        val (useful, useless) = kept.partition { isUsefullyKept(it, team, now) }
+        for (machine in useless) {
             machine.keepFor(null, now)
             team.startOver(now)
         }
+        if (useful.isNotEmpty()) return
         // Only the first in order can be stuck for want of a large enough gap; others wait their turn.
         val hungry = team.stuckSince(now - HUNGRY, now) ?: return
         val machine =
@@ -96,6 +87,23 @@
         )
     }
 
+    /** Its job's limit, zone or a failure here may have come between; others are not to wait for that. */
+    private fun isUsefullyKept(
+        machine: Machine,
+        team: Dispatcher,
+        now: Duration,
+    ): Boolean {
+        val job = machine.keptFor ?: return false
+        return job.waiting > 0 &&
+            !job.isDoubtful &&
+            scheduler.jobs[job.spec.id] === job &&
+            machine.usable &&
+            now - machine.keptSince < KEPT &&
+            Dispatcher.allowed(job, machine) &&
+            team.withinLimit(job.room) &&
+            job.spec.id !in machine.failures
+    }
+
     /**
      * The leases that the owner renewed are over, but another controller may have renewed them since,
      * on behalf of a zone that is cut off. So a machine with tasks is condemned first: a report that
--- a/src/main/kotlin/umberslip/dispatch/Preemption.kt
+++ b/src/main/kotlin/umberslip/dispatch/Preemption.kt
@@ -58,7 +58,11 @@
     private fun isStarved(
         job: RunningJob,
         now: Duration,
-    ): Boolean = job.spec.shape == Shape.ARRAY && job.notBefore <= now && now - job.waitingSince > PATIENCE
+    ): Boolean =
+        job.spec.shape == Shape.ARRAY &&
+            !job.isDoubtful &&
+            job.notBefore <= now &&
+            now - job.waitingSince > PATIENCE
 
     /** Jobs whose tasks save, the first to give way first. They are ordered by job, so their tasks need no sorting. */
     private fun victims(): List<RunningJob> =
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -134,6 +134,9 @@
     var doneCount = 0
         private set
     val assigned = HashMap<Int, Assignment>()
+
+    /** Machines whose room is kept for its tasks. */
+    var machinesKept = 0
     private val chunks = arrayOfNulls<Chunk>((spec.tasks + perChunk - 1) / perChunk)
 
     /** Tasks that came back from a machine and wait again; the rest of the waiting are [fresh] and later. */
@@ -159,7 +162,10 @@
 
     /** After failures on several machines, the job's tasks wait before the next try. */
     var notBefore: Duration = Duration.ZERO
-    val failedOn = HashSet<HostName>()
+    val failures = JobFailures()
+
+    /** It fails on every machine so far, probably by its own mistake: its tasks are tried one at a time. */
+    var isDoubtful = false
 
     /** When a task of the job was last placed, or the job came. */
     var lastPlaced: Duration = Duration.ZERO
--- a/src/main/kotlin/umberslip/dispatch/SchedulerState.kt
+++ b/src/main/kotlin/umberslip/dispatch/SchedulerState.kt
@@ -2,7 +2,6 @@
 
 import org.slf4j.LoggerFactory
 import umberslip.agents.Cause
-import umberslip.agents.Failures
 import umberslip.agents.Machine
 import umberslip.agents.Order
 import umberslip.agents.Report
@@ -74,6 +73,7 @@
     private val starvationGuard = StarvationGuard()
     private val jobTargets = JobTargets(settings.objectives)
     private val workerOrders = WorkerOrders(jobs)
+    val failures = FailureTracker(jobs)
     private val returned = HashSet<HostName>()
     private val unknownTeams = HashSet<JobId>()
     private var flavors: Map<String, Flavor> = emptyMap()
@@ -385,53 +385,16 @@
         machine.awaitingClear[a.id] = release(a, now, done = cause == Cause.DONE)
         when (cause) {
             Cause.DONE -> {
-                job.failedOn.clear()
-                machine.failures.clear()
+                failures.succeeded(machine, job)
                 a.runningSince?.let { job.observed(now - it) }
             }
-            Cause.ERROR -> failed(machine, job, now)
+            Cause.ERROR -> failures.failed(machine, job, a.runningSince?.let { now - it } ?: Duration.ZERO, now)
             Cause.FULL, Cause.BUSY -> machine.noRoomUntil = now + 2.seconds
             Cause.UNKNOWN -> job.notBefore = now + 2.seconds
             Cause.HALTED, Cause.PEERS, Cause.ALONE -> Unit
         }
     }
 
-    /** A job that failed on several machines and succeeded nowhere waits longer and longer between tries. */
-    private fun failed(
-        machine: Machine,
-        job: RunningJob,
-        now: Duration,
-    ) {
-        job.failedOn += machine.name
-        machine.failures[job.spec.id] = Failures((machine.failures[job.spec.id]?.count ?: 0) + 1, now)
-        judge(machine)
-        if (job.failedOn.size >= 2 && job.doneCount == 0) {
-            val wait = (1L shl job.failedOn.size.coerceAtMost(MAX_DOUBLINGS)).seconds
-            job.notBefore = now + wait
-            log.warn("job {} failed on {} machines: waits {}", job.spec.id.value, job.failedOn.size, wait)
-        }
-    }
-
-    /**
-     * Tells a machine that fails everything from a job that fails everywhere: a machine is sick when
-     * several jobs failed on it and nothing succeeded since, or one that succeeds elsewhere did so
-     * repeatedly.
-     */
-    fun judge(machine: Machine) {
-        if (machine.sick || machine.failures.isEmpty()) return
-        val failing = machine.failures.keys.mapNotNull { jobs[it] }
-        val sick =
-            machine.failures.size >= 2 ||
-                (machine.failures.values.sumOf { it.count } >= 2 && failing.any { it.doneCount > 0 })
-        if (!sick) return
-        machine.sick = true
-        log.warn(
-            "machine {} fails the tasks of {} jobs: nothing more is placed there",
-            machine.name.value,
-            machine.failures.size,
-        )
-    }
-
     /** Bounds the leases that this owner's answer renews. */
     fun answered(
         name: HostName,
@@ -465,15 +428,23 @@
         val candidates = LinkedHashMap<Dispatcher, RunningJob>()
         for (team in teams.values) team.pick(machine, free, now, within)?.let { candidates[team] = it }
         while (candidates.isNotEmpty()) {
-            val longestWaiting =
-                starvationGuard.next(now) { job ->
-                    teams[job.spec.team]?.mayPlace(job, machine, free, now, within) == true
-                }
-            val job = longestWaiting ?: candidates.getValue(Turns.next(candidates) ?: return true)
+            val turn =
+                starvationGuard.next(
+                    now,
+                    mayPlace = { teams[it.spec.team]?.mayPlace(it, machine, free, now, within) == true },
+                    mayReserve = { mayReserve(it, machine, free, now) },
+                )
+            if (turn is StarvationTurn.Reserve) {
+                machine.keepFor(turn.job, now)
+                starvationGuard.reserved(turn.job)
+                return true
+            }
+            val job = turn?.job ?: candidates.getValue(Turns.next(candidates) ?: return true)
             val index = job.peek()
             if (index != null) {
+                val wasKept = machine.keptFor === job
                 place(job, index, machine, now)
-                starvationGuard.dealt(job, job === longestWaiting, now)
+                starvationGuard.dealt(job, charged = turn != null && !wasKept, now)
                 free = machine.free() ?: return true
             }
             if (outOfTime()) return false
@@ -487,6 +458,23 @@
         return true
     }
 
+    /**
+     * Whether a machine's room may be saved up for a job whose tasks do not fit into what is free: smaller tasks would
+     * fill every gap before it is large enough. The longer the job has waited, the longer the room may take to grow.
+     */
+    private fun mayReserve(
+        job: RunningJob,
+        machine: Machine,
+        free: Room,
+        now: Duration,
+    ): Boolean {
+        if (!machine.usable || machine.keptFor != null || free.covers(job.room)) return false
+        if (job.spec.shape != Shape.ARRAY || job.notBefore > now || job.machinesKept >= job.waiting) return false
+        if (machine.capacity?.covers(job.room) != true || job.spec.id in machine.failures) return false
+        if (!Dispatcher.allowed(job, machine) || teams[job.spec.team]?.withinLimit(job.room) != true) return false
+        return machine.timeUntilRoom(job.room, now) <= (now - job.cameAt) / RESERVE_PATIENCE
+    }
+
     private fun place(
         job: RunningJob,
         index: Int,
@@ -636,6 +624,7 @@
             returned += name
             machines[name]?.let {
                 forget(it, now)
+                it.keepFor(null, now)
                 machines.remove(name)
             }
         }
@@ -695,7 +684,7 @@
     }
 
     private companion object {
-        /** A job that fails everywhere waits 64 s between tries at most. */
-        const val MAX_DOUBLINGS = 6
+        /** A machine is kept for a starving job if it has room within the time that the job waited, divided by this. */
+        const val RESERVE_PATIENCE = 4
     }
 }
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -89,7 +89,7 @@
                         } else {
                             job.waiting
                         }
-                    val tasks = minOf(job.waiting, byLimit)
+                    val tasks = minOf(job.waiting, byLimit, if (job.isDoubtful) 1 else Int.MAX_VALUE)
                     if (tasks <= 0) continue
                     cpus -= tasks * job.room.cpus
                     val daemon = job.spec.shape == Shape.DAEMON
--- a/src/test/kotlin/umberslip/dispatch/SchedulerStateTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/SchedulerStateTest.kt
@@ -529,6 +529,10 @@
         t.deal("z")
         t.write()
         t.report("z", *(placed(one) + placed(two)).map { ended(it, Cause.ERROR) }.toTypedArray())
+        // Both may have a mistake of their own; their next tries elsewhere have time to show it.
+        assertFalse(t.machine("z").sick)
+        t.now += 4.seconds
+        t.tick()
         assertTrue(t.machine("z").sick)
     }
 
