Questions give way to reads, leases and writes; what waited out a standstill is neither sent nor told

Found by reading for silent and frozen controllers and for floods of questions: a question's look-up of an end could put the request pacer into debt, which delayed reads of the records and so starts; a call whose connection came after its time was still sent; an answer from before a standstill was told after. Requests in mailboxes are bounded by connections, not by 2,048 and 1,000; a machine gets no more tasks than fit into a report. PacerTest, HttpTest, RequestsTest and SchedulerStateTest hold each; the answer told after a standstill was seen to fail without the check.

--- a/src/main/kotlin/umberslip/actor/Actor.kt
+++ b/src/main/kotlin/umberslip/actor/Actor.kt
@@ -25,7 +25,7 @@
 abstract class Actor<M : Any>(
     private val name: String,
     private val scope: CoroutineScope,
-    private val capacity: Int = 2048,
+    private val capacity: Int = DEFAULT_CAPACITY,
 ) {
     protected val log = LoggerFactory.getLogger("umberslip.$name")
     private val mailbox = Channel<M>(Channel.UNLIMITED)
@@ -57,4 +57,12 @@
                 }
             }
         }
+
+    companion object {
+        /**
+         * Room for what an actor's own parts send. An actor that gets requests adds one for each connection: requests
+         * are not pipelined, so there are never more of them at once.
+         */
+        const val DEFAULT_CAPACITY = 2048
+    }
 }
--- a/src/main/kotlin/umberslip/admission/Admission.kt
+++ b/src/main/kotlin/umberslip/admission/Admission.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import umberslip.actor.Actor
+import umberslip.actor.Clock
 import umberslip.cloud.Flavor
 import umberslip.http.Documents
 import umberslip.http.NoAnswer
@@ -33,6 +34,7 @@
 import umberslip.state.Version
 import umberslip.state.Write
 import java.time.Instant
+import kotlin.time.Duration.Companion.seconds
 
 sealed interface AdmissionMessage {
     class Submit(
@@ -109,11 +111,12 @@
     private val state: StateService,
     private val writes: Pacer,
     private val reader: Reader,
+    private val clock: Clock,
     private val wallClock: () -> Instant,
     private val announce: () -> Unit,
     private val ready: () -> Boolean,
     metrics: MeterRegistry,
-) : Actor<AdmissionMessage>("admission", scope) {
+) : Actor<AdmissionMessage>("admission", scope, DEFAULT_CAPACITY + settings.sockets) {
     private val teams = settings.teams.associateBy { it.name }
     private val ends: Cache<JobId, EndRecord> =
         Caffeine
@@ -132,7 +135,7 @@
         when (message) {
             is AdmissionMessage.Flavors -> flavors = message.all
             is AdmissionMessage.Submit -> submit(message)
-            is AdmissionMessage.Status -> answer(message.respond) { status(message.id) }
+            is AdmissionMessage.Status -> answer(message.respond) { currentStatus(message.id) }
             is AdmissionMessage.Cancel -> answer(message.respond) { cancel(message.id) }
             is AdmissionMessage.Created -> {
                 creating = false
@@ -311,6 +314,16 @@
         }
     }
 
+    /**
+     * After a standstill of this process its user waits no more, and others may have told something newer since: what
+     * was read before is not told.
+     */
+    private suspend fun currentStatus(id: JobId): Response {
+        val asked = clock.now()
+        val response = status(id)
+        return if (clock.now() - asked > QUESTION_PATIENCE) undecided() else response
+    }
+
     /** The job's state as of a read begun after the request came; ends may come from the cache. */
     private suspend fun status(id: JobId): Response {
         ends.getIfPresent(id)?.let { return told(200, id, it) }
@@ -370,7 +383,7 @@
     private fun cancelled(job: JobRecord) = EndRecord(End.CANCELLED, job.spec.tasks)
 
     private suspend fun end(id: JobId): EndRecord? {
-        val entry = state.get(Keys.end(id)) ?: return null
+        val entry = state.lookUp(Keys.end(id)) ?: return null
         return EndRecord.parse(entry.data).also { ends.put(id, it) }
     }
 
@@ -421,6 +434,9 @@
 
     private companion object {
         const val MAX_OPEN = 400
+
+        /** How long users wait for the answer to a question. */
+        val QUESTION_PATIENCE = 2.seconds
         const val MAX_QUEUE = 100
         const val MAX_TXN_BYTES = 50_000
 
--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -149,6 +149,14 @@
     private val ready = HashSet<String>()
     private val awaited = HashMap<String, Int>()
 
+    /** What its tasks take of a report; that of ended ones until they are cleared. */
+    private var heldBytes = 0
+
+    /** A report must stay within the protocol's size, however small the tasks are. */
+    fun hasReportRoom(spec: JobSpec): Boolean = heldBytes + awaitingClear.size * LONGEST_TASK_BYTES + reportBytes(spec) <= MAX_REPORT_BYTES
+
+    private fun reportBytes(spec: JobSpec): Int = spec.id.value.length + TASK_BYTES
+
     /** How many images are fetched, or in turn to be. */
     val fetches: Int get() = awaited.size
 
@@ -187,6 +195,7 @@
     fun add(a: Assignment) {
         if (held.put(a.id, a) != null) return
         used += a.room
+        heldBytes += reportBytes(a.job.spec)
         if (a.job.spec.image !in ready) awaited.merge(a.job.spec.image, 1, Int::plus)
     }
 
@@ -194,6 +203,7 @@
         // Emptied, it starts from zero again, so that rounding does not add up.
         if (!held.remove(a.id, a)) return
         used = if (held.isEmpty()) Room.NONE else used - a.room
+        heldBytes -= reportBytes(a.job.spec)
         awaited.computeIfPresent(a.job.spec.image) { _, n -> if (n > 1) n - 1 else null }
     }
 
@@ -213,4 +223,13 @@
         }
         return Duration.INFINITE
     }
+
+    private companion object {
+        /** The protocol's 64 KiB, less what a report says besides its tasks. */
+        const val MAX_REPORT_BYTES = 63 * 1024
+
+        /** A task in a report, but for its job's id: number, attempt, state, cause and names of fields. */
+        const val TASK_BYTES = 100
+        const val LONGEST_TASK_BYTES = TASK_BYTES + JobId.MAX_LENGTH
+    }
 }
--- a/src/main/kotlin/umberslip/agents/Relay.kt
+++ b/src/main/kotlin/umberslip/agents/Relay.kt
@@ -10,10 +10,14 @@
  * names that owner and does not condemn the machine. Tasks of cancelled jobs are stopped, so that a
  * cancellation bites here too. Pure.
  */
-class Relay {
+class Relay(
+    connections: Int,
+) {
+    /** Machines that were heard on each connection, one after the other, before the first is forgotten. */
+    private val maxHosts = connections * HOSTS_PER_CONNECTION
     private val newest =
         object : LinkedHashMap<HostName, Mark>() {
-            override fun removeEldestEntry(eldest: Map.Entry<HostName, Mark>) = size > MAX_HOSTS
+            override fun removeEldestEntry(eldest: Map.Entry<HostName, Mark>) = size > maxHosts
         }
     private val heard = LinkedHashSet<HostName>()
 
@@ -33,7 +37,7 @@
     fun takeHeard(valueBytes: Int): Set<HostName> = HostsRecord.fitting(heard, valueBytes).also { heard -= it }
 
     companion object {
-        private const val MAX_HOSTS = 4096
+        private const val HOSTS_PER_CONNECTION = 8
 
         /** The term and the orders to answer with; null where the report must not be answered with 200. */
         fun answer(
--- a/src/main/kotlin/umberslip/daemon/Controller.kt
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -63,7 +63,7 @@
     private val log = LoggerFactory.getLogger("umberslip.daemon")
     private val timings = Timings(settings.workers, tuning)
     private val authority = Authority(timings)
-    private val reader: Reader = Reader(scope, state, clock, ::recordsChanged)
+    private val reader: Reader = Reader(scope, state, clock, settings.sockets, ::recordsChanged)
     private val admission =
         Admission(
             scope,
@@ -71,6 +71,7 @@
             state,
             writes(ACCEPT_SHARE),
             reader,
+            clock,
             wallClock,
             ::announce,
             ::ready,
@@ -124,7 +125,7 @@
     private val readiness = Readiness(settings.known.isEmpty())
     private var relaying = 0
     private val malformed = HashSet<String>()
-    private val relay = Relay()
+    private val relay = Relay(settings.sockets)
     private var noteVersion: Version? = null
 
     private fun writes(share: Double) =
--- a/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/umberslip/dispatch/Dispatcher.kt
@@ -160,6 +160,7 @@
         if (machine.keptFor.let { it != null && it !== job }) return false
         if (job.notBefore > now || !free.covers(job.room)) return false
         if (job.isDoubtful && job.assigned.isNotEmpty()) return false
+        if (!machine.hasReportRoom(job.spec)) return false
         // The plan may count on a machine that cannot take the job just now; it is not to wait for ever beside one with
         // room.
         if (
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -120,7 +120,7 @@
     private val nudge: () -> Unit,
     private val peerHealth: () -> PeerHealth,
     metrics: MeterRegistry,
-) : Actor<OwnerMessage>("dispatch", scope) {
+) : Actor<OwnerMessage>("dispatch", scope, DEFAULT_CAPACITY + settings.sockets) {
     private class Waiting(
         val mark: Mark,
         val respond: (Response) -> Unit,
--- a/src/main/kotlin/umberslip/http/HttpClient.kt
+++ b/src/main/kotlin/umberslip/http/HttpClient.kt
@@ -23,6 +23,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.net.InetSocketAddress
 import kotlin.time.Duration
+import kotlin.time.TimeSource
 
 /** The request was certainly not carried out: refused, or never sent. */
 open class Unavailable(
@@ -51,6 +52,7 @@
     private val group: EventLoopGroup,
     private val address: InetSocketAddress,
     private val maxBody: Int,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
     private val idle = ArrayDeque<Channel>()
 
@@ -60,8 +62,15 @@
         body: Any?,
         timeout: Duration,
     ): Reply {
+        val began = timeSource.markNow()
         val channel =
             withTimeoutOrNull(timeout) { connection() } ?: throw Unavailable("no connection to $address in $timeout")
+        // After a standstill of the process, the connection and the timer are ready at the same time. What was to be
+        // sent rests on what was known then.
+        if (began.elapsedNow() > timeout) {
+            idle.addLast(channel)
+            throw Unavailable("not sent to $address in $timeout")
+        }
         val answer = CompletableDeferred<Reply>()
         val calls = channel.pipeline().get(Calls::class.java)
         calls.waiting = answer
--- a/src/main/kotlin/umberslip/records/JobSpec.kt
+++ b/src/main/kotlin/umberslip/records/JobSpec.kt
@@ -8,7 +8,7 @@
     val value: String,
 ) {
     companion object {
-        private const val MAX_LENGTH = 100
+        const val MAX_LENGTH = 100
 
         /** Ids become part of keys, so only such as need no escaping are taken. */
         fun parse(text: String): JobId? =
--- a/src/main/kotlin/umberslip/records/Reader.kt
+++ b/src/main/kotlin/umberslip/records/Reader.kt
@@ -46,8 +46,10 @@
     private val scope: CoroutineScope,
     private val state: StateService,
     private val clock: Clock,
+    /** How many requests there can be at once: each may wait for a read. */
+    private val maxRequests: Int,
     private val listener: RecordListener,
-) : Actor<ReaderMessage>("records", scope) {
+) : Actor<ReaderMessage>("records", scope, DEFAULT_CAPACITY + maxRequests) {
     private val replica = Replica()
     private var revision: Long? = null
     private var reading = false
@@ -73,7 +75,7 @@
     override suspend fun receive(message: ReaderMessage) {
         when (message) {
             is ReaderMessage.Confirm -> {
-                if (waiting.size < MAX_WAITING) waiting.add(message.answer) else message.answer.complete(null)
+                if (waiting.size < DEFAULT_CAPACITY + maxRequests) waiting.add(message.answer) else message.answer.complete(null)
             }
             ReaderMessage.Nudge -> nudged = true
             ReaderMessage.Due -> {
@@ -174,6 +176,5 @@
         val SPACING = 70.milliseconds
         val BACK_OFF = 250.milliseconds
         val IDLE = 300.milliseconds
-        const val MAX_WAITING = 1000
     }
 }
--- a/src/main/kotlin/umberslip/state/StateService.kt
+++ b/src/main/kotlin/umberslip/state/StateService.kt
@@ -107,6 +107,12 @@
 interface StateService {
     suspend fun get(key: String): Entry?
 
+    /**
+     * As [get], for the questions of users. It gives way to all other requests: where these use up the rate, it is
+     * refused at once with [Unavailable], so that questions never delay reads of the records, leases or writes.
+     */
+    suspend fun lookUp(key: String): Entry?
+
     suspend fun list(
         prefix: String,
         after: String?,
@@ -140,6 +146,9 @@
     private var tokens = rate
     private var last = clock.now()
 
+    /** What those who wait in [takeSpare] will take. */
+    private var promised = 0
+
     suspend fun take(
         amount: Int,
         urgent: Boolean,
@@ -149,6 +158,28 @@
         if (tokens < 0 && !urgent) delay((-tokens / rate).seconds)
     }
 
+    /**
+     * Takes only what leaves a reserve for other takers, who then never wait for this one. False, at once, where that
+     * would take longer than [patience].
+     */
+    suspend fun takeSpare(
+        amount: Int,
+        patience: Duration,
+    ): Boolean {
+        refill()
+        val missing = promised + amount + rate * RESERVE - tokens
+        if (missing > 0) {
+            val time = (missing / rate).seconds
+            if (time > patience) return false
+            promised += amount
+            delay(time)
+            promised -= amount
+            refill()
+        }
+        tokens -= amount
+        return true
+    }
+
     /** The service allows no more than its later limit: it does not go back to the former. */
     fun lower() {
         if (lowered >= rate) return
@@ -173,6 +204,11 @@
         tokens = minOf(rate, tokens + (now - last).toDouble(DurationUnit.SECONDS) * rate)
         last = now
     }
+
+    private companion object {
+        /** The part of a second's worth that is left to others by those who take only what is spare. */
+        const val RESERVE = 0.3
+    }
 }
 
 class HttpStateService(
@@ -180,7 +216,17 @@
     private val requests: Pacer,
 ) : StateService {
     override suspend fun get(key: String): Entry? {
-        val reply = call(HttpMethod.GET, "/keys/$key", null)
+        requests.take(1, urgent = false)
+        return fetch(key)
+    }
+
+    override suspend fun lookUp(key: String): Entry? {
+        if (!requests.takeSpare(1, LOOK_UP_PATIENCE)) throw Unavailable("too many questions for the state service")
+        return fetch(key)
+    }
+
+    private suspend fun fetch(key: String): Entry? {
+        val reply = send(HttpMethod.GET, "/keys/$key", null)
         return when (reply.status) {
             200 -> reply.fields().let { Entry(it.text("path"), it.raw()["data"], Version(it.long("stamp"))) }
             404 -> null
@@ -279,12 +325,19 @@
         urgent: Boolean = false,
     ): Reply {
         requests.take(1, urgent)
-        return try {
+        return send(method, path, body)
+    }
+
+    private suspend fun send(
+        method: HttpMethod,
+        path: String,
+        body: Any?,
+    ): Reply =
+        try {
             http.call(method, path, body, TIMEOUT)
         } catch (e: Malformed) {
             throw NoAnswer("state service: ${e.message}")
         }
-    }
 
     private fun refused(reply: Reply): Nothing {
         val what = "state service answered ${reply.status} ${reply.body}"
@@ -296,5 +349,8 @@
     private companion object {
         const val PAGE = 500
         val TIMEOUT = 1000.milliseconds
+
+        /** Users wait 2 s for an answer to a question. */
+        val LOOK_UP_PATIENCE = 500.milliseconds
     }
 }
--- a/src/test/kotlin/umberslip/admission/RequestsTest.kt
+++ b/src/test/kotlin/umberslip/admission/RequestsTest.kt
@@ -1,6 +1,7 @@
 package umberslip.admission
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import umberslip.http.Response
 import umberslip.records.JobId
@@ -11,6 +12,7 @@
 import umberslip.sim.World
 import umberslip.sim.WorldSize
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** What users get for odd requests, from the actual controllers. */
@@ -162,4 +164,24 @@
             assertEquals(true, answer.retryAfterSeconds != null)
         }
     }
+
+    @Test
+    fun `what a controller read before it stood still is not told afterwards`() {
+        var asked = 0
+        for (readUnderWay in 0..24) {
+            val spec = job(40 + readUnderWay) { it.copy(expectedSeconds = 300.0) }
+            assertEquals(201, submit(spec).status)
+            world.run(1.seconds)
+            val question = world.send(0, "GET", "/api/jobs/${spec.id.value}")
+            world.run(readUnderWay.milliseconds)
+            if (question.isCompleted) continue
+            asked++
+            world.freeze(0, 30.seconds)
+            assertEquals(200 to "aborted", cancel(spec, at = 1))
+            world.run(40.seconds)
+            val answer = question.getCompleted()
+            assertTrue(answer.status == 503 || statusOf(answer) == 200 to "aborted", "${answer.status} ${answer.body}")
+        }
+        assertTrue(asked > 3, "only $asked questions were under way")
+    }
 }
--- a/src/test/kotlin/umberslip/agents/RelayTest.kt
+++ b/src/test/kotlin/umberslip/agents/RelayTest.kt
@@ -60,7 +60,7 @@
 
     @Test
     fun `late copies count for nothing, and only two reports in a row are a sign of life`() {
-        val relay = Relay()
+        val relay = Relay(connections = 100)
 
         fun report(
             session: Long,
--- a/src/test/kotlin/umberslip/dispatch/SchedulerStateTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/SchedulerStateTest.kt
@@ -15,6 +15,7 @@
 import umberslip.agents.Order
 import umberslip.cloud.HostName
 import umberslip.http.Documents
+import umberslip.records.JobId
 import umberslip.records.Keys
 import umberslip.records.Shape
 import umberslip.records.TaskId
@@ -504,6 +505,22 @@
         assertNull(t.machine("m").keptFor)
     }
 
+    @Test
+    fun `a machine gets no more tasks than its reports have room for`() {
+        val job = t.job { it.copy(tasks = 5000, cpus = 0.001, memoryGb = 0.001, id = JobId("x".repeat(100))) }
+        repeat(20) {
+            t.report("m", *placed(job).map { running(it) }.toTypedArray())
+            t.deal("m")
+            t.write()
+        }
+        val tasks =
+            placed(job).map {
+                mapOf("piece" to it.id.toString(), "try" to Long.MAX_VALUE, "status" to "ended", "cause" to "unknown", "saved" to true)
+            }
+        assertTrue(tasks.size > 200, "${tasks.size} tasks")
+        assertTrue(Documents.jsonSize(tasks) < 64 * 1024, "${Documents.jsonSize(tasks)} bytes")
+    }
+
     @Test
     fun `a machine that fails everything is told from a job that fails everywhere`() {
         val good = t.job()
--- a/src/test/kotlin/umberslip/http/HttpTest.kt
+++ b/src/test/kotlin/umberslip/http/HttpTest.kt
@@ -8,15 +8,21 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
 import java.net.InetSocketAddress
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
 
 /** Server and client against each other, on loopback. */
 class HttpTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val served = AtomicInteger()
     private val server =
         HttpServer(group, 10) { request, respond ->
+            served.incrementAndGet()
             when (request.path) {
                 "/echo" -> respond(Response(200, mapOf("got" to request.fields().text("say"))))
                 "/elsewhere" -> respond(Response.later(3, "not here", close = true))
@@ -41,6 +47,25 @@
         repeat(3) { assertEquals("hello $it", call("/echo", mapOf("say" to "hello $it")).fields().text("got")) }
     }
 
+    @Test
+    fun `what could not be sent in time is never sent`() {
+        // Of a process that stood still for a minute between the decision to send and the connection.
+        val standstill =
+            object : TimeSource {
+                override fun markNow() =
+                    object : TimeMark {
+                        override fun elapsedNow() = 60.seconds
+                    }
+            }
+        val late = HttpClient(group, server.localAddress() as InetSocketAddress, 1 shl 20, standstill)
+        val before = served.get()
+        assertThrows<Unavailable> {
+            runBlocking { late.call(HttpMethod.POST, "/echo", mapOf("say" to "late"), 20.seconds) }
+        }
+        assertEquals("now", call("/echo", mapOf("say" to "now")).fields().text("got"))
+        assertEquals(before + 1, served.get(), "the server got the second request only")
+    }
+
     @Test
     fun `bad input is answered, and the next request is served`() {
         assertEquals(400, call("/echo", listOf(1L)).status)
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -421,6 +421,8 @@
 
         override suspend fun get(key: String) = read { state.get(key) }
 
+        override suspend fun lookUp(key: String) = get(key)
+
         override suspend fun list(
             prefix: String,
             after: String?,
@@ -799,6 +801,13 @@
         specs[spec.id.value] = spec
     }
 
+    /** A request that is under way to a controller. */
+    fun send(
+        controller: Int,
+        method: String,
+        path: String,
+    ): CompletableDeferred<Response> = hand(requireNotNull(controllers[controller]), method, path, null)
+
     /** One request to a controller, and its answer. */
     fun ask(
         controller: Int,
--- /dev/null
+++ b/src/test/kotlin/umberslip/state/PacerTest.kt
@@ -0,0 +1,42 @@
+package umberslip.state
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import umberslip.actor.Clock
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Requests to the state service keep to its rate, and questions never delay what matters more. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class PacerTest {
+    private fun TestScope.pacer(rate: Double) = Pacer(rate, Clock { currentTime.milliseconds })
+
+    @Test
+    fun `a flood of questions delays no other request`() =
+        runTest {
+            val pacer = pacer(40.0)
+            val questions = List(400) { async { pacer.takeSpare(1, 500.milliseconds) } }
+            testScheduler.runCurrent()
+            repeat(10) { pacer.take(1, urgent = false) }
+            assertEquals(0L, currentTime, "reads wait for no question")
+            val served = questions.awaitAll().count { it }
+            assertTrue(served in 28..50, "$served questions were served")
+            assertTrue(currentTime <= 500, "the others were refused in time, not kept waiting: $currentTime ms")
+        }
+
+    @Test
+    fun `questions are served again as the rate allows`() =
+        runTest {
+            val pacer = pacer(40.0)
+            while (pacer.takeSpare(1, 0.milliseconds)) Unit
+            val before = currentTime
+            repeat(20) { assertTrue(pacer.takeSpare(1, 500.milliseconds)) }
+            assertTrue(currentTime - before in 450..550, "${currentTime - before} ms")
+        }
+}
