--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -26,12 +26,6 @@
 
     operator fun minus(other: Room) = Room(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb)
 
-    /** Smaller tasks would fill the gaps that open up on the machine before one of this size is open. */
-    fun isLargePartOf(machine: Room): Boolean =
-        cpus * LARGE_PART >= machine.cpus ||
-            memoryGb * LARGE_PART >= machine.memoryGb ||
-            (gpus > 0 && gpus * LARGE_PART >= machine.gpus)
-
     val isNone: Boolean get() = cpus < EPSILON && gpus < EPSILON || memoryGb < EPSILON
 
     /** How many times [task] fits. */
@@ -45,9 +39,6 @@
 
     companion object {
         private const val EPSILON = 1e-6
-
-        /** One part in so many of a machine is large. */
-        private const val LARGE_PART = 8
         val NONE = Room(0.0, 0.0, 0.0)
 
         fun of(flavor: Flavor) = Room(flavor.cpus, flavor.gpus, flavor.memoryGb)
@@ -131,8 +122,6 @@
         job: RunningJob?,
         now: Duration,
     ) {
-        keptFor?.let { it.machinesKept-- }
-        job?.let { it.machinesKept++ }
         keptFor = job
         keptSince = now
     }
@@ -209,21 +198,6 @@
 
     fun free(): Room? = capacity?.minus(used)
 
-    /** How long until [task] fits, if what is here ends when expected and nothing else is placed. */
-    fun timeUntilRoom(
-        task: Room,
-        now: Duration,
-    ): Duration {
-        var room = free() ?: return Duration.INFINITE
-        if (room.covers(task)) return Duration.ZERO
-        val ending = held.values.map { it to (it.left(now) ?: it.job.expectedTime) }.sortedBy { (_, left) -> left }
-        for ((assignment, left) in ending) {
-            room += assignment.room
-            if (room.covers(task)) return left.coerceAtLeast(Duration.ZERO)
-        }
-        return Duration.INFINITE
-    }
-
     private companion object {
         /** The protocol's 64 KiB, less what a report says besides its tasks. */
         const val MAX_REPORT_BYTES = 63 * 1024
--- a/src/main/kotlin/umberslip/daemon/Controller.kt
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -276,7 +276,7 @@
         // Sent to a controller that cannot be reached, a worker would lose seconds of its lease there.
         // Here its lease is renewed while the record stands; else it asks around. The record may be that
         // of this member's former process: after all have ended, every second of a lease counts.
-        if (ownerMember == null || relaying >= MAX_RELAYING) {
+        if (ownerMember == null || relaying >= settings.sockets) {
             respond(Response.NOT_HERE)
             return
         }
@@ -332,7 +332,6 @@
         private const val CANCEL = "/cancel"
         private const val ACCEPT_SHARE = 0.5
         private const val OWNER_SHARE = 0.7
-        private const val MAX_RELAYING = 200
         private val NOTE_EVERY = 3.seconds
     }
 }
--- a/src/main/kotlin/umberslip/dispatch/RunningJob.kt
+++ b/src/main/kotlin/umberslip/dispatch/RunningJob.kt
@@ -134,9 +134,6 @@
     var doneCount = 0
         private set
     val assigned = HashMap<Int, Assignment>()
-
-    /** Machines whose room is kept for its tasks. */
-    var machinesKept = 0
     private val chunks = arrayOfNulls<Chunk>((spec.tasks + perChunk - 1) / perChunk)
 
     /** Tasks that came back from a machine and wait again; the rest of the waiting are [fresh] and later. */
--- a/src/main/kotlin/umberslip/dispatch/SchedulerState.kt
+++ b/src/main/kotlin/umberslip/dispatch/SchedulerState.kt
@@ -428,12 +428,6 @@
         val candidates = LinkedHashMap<Dispatcher, RunningJob>()
         for (team in teams.values) team.pick(machine, free, now, within)?.let { candidates[team] = it }
         while (candidates.isNotEmpty()) {
-            val reservation = starvationGuard.nextReservation(now) { mayReserve(it, machine, free, now) }
-            if (reservation != null) {
-                machine.keepFor(reservation, now)
-                starvationGuard.reserved(reservation)
-                return true
-            }
             val longestWaiting =
                 starvationGuard.next(now) { job ->
                     teams[job.spec.team]?.mayPlace(job, machine, free, now, within) == true
@@ -456,25 +450,6 @@
         return true
     }
 
-    /**
-     * Whether a machine's room may be reserved for a job whose large tasks do not fit into what is free. The longer the
-     * job has waited, the longer the room may take to become large enough.
-     */
-    private fun mayReserve(
-        job: RunningJob,
-        machine: Machine,
-        free: Room,
-        now: Duration,
-    ): Boolean {
-        if (!machine.usable || machine.keptFor != null || free.covers(job.room)) return false
-        if (job.spec.shape != Shape.ARRAY || job.notBefore > now || job.machinesKept >= job.waiting) return false
-        val capacity = machine.capacity ?: return false
-        if (!capacity.covers(job.room) || !job.room.isLargePartOf(capacity)) return false
-        if (job.spec.id in machine.failures) return false
-        if (!Dispatcher.allowed(job, machine) || teams[job.spec.team]?.withinLimit(job.room) != true) return false
-        return machine.timeUntilRoom(job.room, now) <= (now - job.cameAt) / RESERVE_PATIENCE
-    }
-
     private fun place(
         job: RunningJob,
         index: Int,
@@ -624,7 +599,6 @@
             returned += name
             machines[name]?.let {
                 forget(it, now)
-                it.keepFor(null, now)
                 machines.remove(name)
             }
         }
@@ -682,9 +656,4 @@
         pendingWrites.remove(job)
         pipelines.gone(job)
     }
-
-    private companion object {
-        /** A machine is kept for a starving job if it has room within the time that the job waited, divided by this. */
-        const val RESERVE_PATIENCE = 4
-    }
 }
--- a/src/main/kotlin/umberslip/dispatch/StarvationGuard.kt
+++ b/src/main/kotlin/umberslip/dispatch/StarvationGuard.kt
@@ -7,10 +7,8 @@
 /**
  * Gives a share of the processors dealt to the jobs that wait longest, whatever their urgency and team, and the longer
  * they wait the larger it is. Under a lasting overload the order of urgency alone would leave some of them waiting for
- * ever; so every job is reached in bounded time. While nobody has waited long, urgency decides alone.
- *
- * A small share of its own goes to jobs whose tasks are too large for the gaps that open up: free room is reserved for
- * them, since smaller tasks would fill every gap before it is large enough. Pure: time is an input.
+ * ever; so every job is reached in bounded time. While nobody has waited long, urgency decides alone. Pure: time is an
+ * input.
  */
 class StarvationGuard {
     private val queue = TreeSet(compareBy<RunningJob>({ it.cameAt }, { it.spec.id.value }))
@@ -18,9 +16,6 @@
     /** Processors that the starving jobs may still be dealt out of turn. */
     private var credit = 0.0
 
-    /** Processors that may still be reserved for large tasks. */
-    private var reservable = 0.0
-
     fun refresh(job: RunningJob) {
         if (job.waiting > 0) queue.add(job) else queue.remove(job)
     }
@@ -43,22 +38,6 @@
             .firstOrNull { !it.isDoubtful && may(it) }
     }
 
-    /**
-     * The largest of the jobs that have waited long and that room [may] be reserved for; null where none is to be
-     * reserved now. The largest need the longest until all of their tasks have begun.
-     */
-    fun nextReservation(
-        now: Duration,
-        may: (RunningJob) -> Boolean,
-    ): RunningJob? {
-        if (reservable <= 0) return null
-        return queue
-            .takeWhile { now - it.cameAt >= RESERVED_AFTER }
-            .filter { !it.isDoubtful }
-            .sortedByDescending { it.spec.tasks * it.room.cpus }
-            .firstOrNull(may)
-    }
-
     /** A task was placed; [turn] says that it was placed as the longest waiting one, not by its urgency. */
     fun dealt(
         job: RunningJob,
@@ -70,12 +49,6 @@
         val waited = if (first == null) Duration.ZERO else now - first.cameAt
         val share = share(waited)
         credit = if (share <= 0) 0.0 else (credit + cost * share - if (turn) cost else 0.0).coerceIn(-BOUND, BOUND)
-        reservable = if (waited < RESERVED_AFTER) 0.0 else minOf(reservable + cost * RESERVED_SHARE, BOUND)
-    }
-
-    /** The room of a machine is reserved for one task of the job. */
-    fun reserved(job: RunningJob) {
-        reservable -= job.room.cpus
     }
 
     /** What of all dealing goes to the longest waiting, by how long the first of them has waited. */
@@ -92,12 +65,5 @@
         const val BOUND = 32.0
         val LONG = 90.seconds
         val TOO_LONG = 180.seconds
-
-        /**
-         * With a larger share an overload turns into first come, first served, and the guaranteed and urgent work is
-         * late (inc-0eb9); with none, large tasks wait for ten minutes (inc-2363).
-         */
-        const val RESERVED_SHARE = 0.05
-        val RESERVED_AFTER = 60.seconds
     }
 }
