--- a/src/test/kotlin/umberslip/sim/MeetingsTest.kt
+++ b/src/test/kotlin/umberslip/sim/MeetingsTest.kt
@@ -275,6 +275,20 @@
             }
         }),
 
+        /** Jobs are cancelled while it stands still; when it goes on the service is out, and its lease holds. */
+        OWNER_FROZEN_INTO_OUTAGE(length = 8.0, bring = {
+            repeat(2) {
+                world.owner()?.let { world.freeze(it, 3.seconds) }
+                world.run(200.milliseconds)
+                cancelSome(8)
+                world.run(random.nextInt(1500, 2600).milliseconds)
+                world.state.out = true
+                pause(50)
+                world.state.out = false
+                pause(15)
+            }
+        }),
+
         /** One after the other goes on, with what it had read and decided before, beside late writes and reports. */
         ALL_FROZEN(Mischief(lossy = 0.005, late = 0.03, copied = 0.1), length = 4.0, bring = {
             world.lateWrites = 0.1
--- /dev/null
+++ b/src/test/kotlin/umberslip/sim/SimMachine.kt
@@ -0,0 +1,41 @@
+package umberslip.sim
+
+import umberslip.cloud.Offer
+import umberslip.records.JobSpec
+import umberslip.records.TaskId
+import kotlin.time.Duration
+
+/** A task on a machine, as the machine sees it. */
+class OnMachine(
+    val task: TaskId,
+    val attempt: Long,
+    val spec: JobSpec,
+) {
+    var status = "fetching"
+    var cause: String? = null
+    var ready = Duration.INFINITE
+    var ends = Duration.INFINITE
+}
+
+class SimMachine(
+    val name: String,
+    val offer: Offer,
+    val bornAt: Duration,
+    val upAt: Duration,
+) {
+    var session = 1L
+    var counter = 0L
+    var token = 0L
+    var lastAnswered = Duration.ZERO
+    var target = 0
+    var gone = false
+    var hungUntil = Duration.ZERO
+
+    /** Its reports arrive until then, but nothing reaches it. */
+    var deafUntil = Duration.ZERO
+
+    /** It reaches no controller until then. */
+    var muteUntil = Duration.ZERO
+    var sick = false
+    val tasks = LinkedHashMap<TaskId, OnMachine>()
+}
