--- a/src/main/kotlin/umberslip/state/StateService.kt
+++ b/src/main/kotlin/umberslip/state/StateService.kt
@@ -149,6 +149,9 @@
     /** What those who wait in [takeSpare] will take. */
     private var promised = 0
 
+    /** Tokens that [takeSpare] may take though none is spare. */
+    private var setAside = MOST_SET_ASIDE
+
     suspend fun take(
         amount: Int,
         urgent: Boolean,
@@ -159,23 +162,26 @@
     }
 
     /**
-     * Takes only what leaves a reserve for other takers, who then never wait for this one. False, at once, where that
-     * would take longer than [patience].
+     * Takes what leaves a reserve for other takers, who then do not wait for this one, or else of a small share that is
+     * set aside, so that it is served under a lasting load of others too. False, at once, where either would take longer
+     * than [patience].
      */
     suspend fun takeSpare(
         amount: Int,
         patience: Duration,
     ): Boolean {
         refill()
-        val missing = promised + amount + rate * RESERVE - tokens
-        if (missing > 0) {
-            val time = (missing / rate).seconds
-            if (time > patience) return false
+        val untilSpare = (promised + amount + rate * RESERVE - tokens) / rate
+        val untilSetAside = (promised + amount - setAside) / (rate * SET_ASIDE)
+        val time = minOf(untilSpare, untilSetAside).seconds
+        if (time > patience) return false
+        if (time > Duration.ZERO) {
             promised += amount
             delay(time)
             promised -= amount
             refill()
         }
+        if (tokens - amount < rate * RESERVE) setAside -= amount
         tokens -= amount
         return true
     }
@@ -201,13 +207,19 @@
 
     private fun refill() {
         val now = clock.now()
-        tokens = minOf(rate, tokens + (now - last).toDouble(DurationUnit.SECONDS) * rate)
+        val added = (now - last).toDouble(DurationUnit.SECONDS) * rate
+        tokens = minOf(rate, tokens + added)
+        setAside = minOf(MOST_SET_ASIDE, setAside + added * SET_ASIDE)
         last = now
     }
 
     private companion object {
         /** The part of a second's worth that is left to others by those who take only what is spare. */
         const val RESERVE = 0.3
+
+        /** The part of the rate that they have even where nothing is spare, with hardly any burst. */
+        const val SET_ASIDE = 0.25
+        const val MOST_SET_ASIDE = 2.0
     }
 }
 
--- a/src/test/kotlin/umberslip/state/PacerTest.kt
+++ b/src/test/kotlin/umberslip/state/PacerTest.kt
@@ -3,6 +3,8 @@
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
@@ -11,6 +13,7 @@
 import org.junit.jupiter.api.Test
 import umberslip.actor.Clock
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Requests to the state service keep to its rate, and questions never delay what matters more. */
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -30,6 +33,22 @@
             assertTrue(currentTime <= 500, "the others were refused in time, not kept waiting: $currentTime ms")
         }
 
+    @Test
+    fun `questions have their share while others use up the rate`() =
+        runTest {
+            val pacer = pacer(20.0)
+            val others =
+                launch {
+                    while (true) pacer.take(1, urgent = false)
+                }
+            delay(3.seconds)
+            var served = 0
+            val began = currentTime
+            while (currentTime - began < 4000) if (pacer.takeSpare(1, 500.milliseconds)) served++ else delay(50.milliseconds)
+            others.cancel()
+            assertTrue(served in 16..24, "$served questions in 4 s")
+        }
+
     @Test
     fun `questions are served again as the rate allows`() =
         runTest {
