A machine is judged by the first failures of jobs that run elsewhere, as soon as they fail

Now a job with a task that keeps running elsewhere is evidence at once, as one with a completed task is.

--- a/src/main/kotlin/umberslip/agents/Machine.kt
+++ b/src/main/kotlin/umberslip/agents/Machine.kt
@@ -45,9 +45,10 @@
     }
 }
 
-/** How often tasks of a job failed on a machine, and when they last did. */
+/** How often tasks of a job failed on a machine since something succeeded there, and when they first and last did. */
 class Failures(
     val count: Int,
+    val first: Duration,
     val last: Duration,
 )
 
@@ -142,7 +143,10 @@
     private var heldBytes = 0
 
     /** A report must stay within the protocol's size, however small the tasks are. */
-    fun hasReportRoom(spec: JobSpec): Boolean = heldBytes + awaitingClear.size * LONGEST_TASK_BYTES + reportBytes(spec) <= MAX_REPORT_BYTES
+    fun hasReportRoom(spec: JobSpec): Boolean {
+        val endedBytes = awaitingClear.size * LONGEST_TASK_BYTES
+        return heldBytes + endedBytes + reportBytes(spec) <= MAX_REPORT_BYTES
+    }
 
     private fun reportBytes(spec: JobSpec): Int = spec.id.value.length + TASK_BYTES
 
--- a/src/main/kotlin/umberslip/dispatch/FailureTracker.kt
+++ b/src/main/kotlin/umberslip/dispatch/FailureTracker.kt
@@ -14,7 +14,8 @@
  *
  * A job that failed on several machines and succeeded nowhere is retried with exponential back-off. Once most of its
  * tasks have failed it is doubtful: an array is then retried one task at a time, and its failures say nothing about
- * machines. A machine is sick when jobs that are not doubtful fail there and nothing succeeds in between.
+ * machines. A job is sound when a task of it has completed, or runs for longer than those that failed. A machine is
+ * sick when sound jobs fail there and nothing succeeds in between.
  * Pure: time is an input.
  */
 class FailureTracker(
@@ -45,17 +46,17 @@
     ) {
         failing += job
         job.failures.add(machine.name, ranFor)
-        val before = machine.failures[job.spec.id]?.count ?: 0
-        machine.failures[job.spec.id] = Failures(before + 1, now)
+        val known = machine.failures[job.spec.id]
+        machine.failures[job.spec.id] = Failures((known?.count ?: 0) + 1, known?.first ?: now, now)
         backOff(job, now)
-        job.isDoubtful = isDoubtful(job, now)
+        judge(job, now)
         judge(machine, now)
     }
 
     /** As time passes, tasks that keep running show that their job is sound. */
     fun tick(now: Duration) {
         failing.removeAll { jobs[it.spec.id] !== it }
-        for (job in failing) job.isDoubtful = isDoubtful(job, now)
+        for (job in failing) judge(job, now)
     }
 
     private fun backOff(
@@ -75,14 +76,19 @@
         )
     }
 
-    private fun isDoubtful(
+    private fun judge(
         job: RunningJob,
         now: Duration,
-    ): Boolean {
-        if (job.spec.shape != Shape.ARRAY || job.doneCount > 0) return false
-        if (job.failures.machineCount < FEW_MACHINES || job.failures.taskCount < job.assigned.size) return false
-        val sound = job.failures.longestRun + LONGER
-        return job.assigned.values.none { a -> a.runningSince.let { it != null && now - it > sound } }
+    ) {
+        val failures = job.failures
+        val long = failures.longestRun + LONGER
+        failures.isJobSound =
+            job.doneCount > 0 || job.assigned.values.any { a -> a.runningSince.let { it != null && now - it > long } }
+        job.isDoubtful =
+            !failures.isJobSound &&
+            job.spec.shape == Shape.ARRAY &&
+            failures.machineCount >= FEW_MACHINES &&
+            failures.taskCount >= job.assigned.size
     }
 
     /** Decides whether a machine is sick; asked after each failure and as time passes. */
@@ -104,11 +110,11 @@
         now: Duration,
     ): Boolean {
         val evidence = machine.failures.filterKeys { id -> jobs[id]?.isDoubtful == false }
-        val ofProvenJobs = evidence.filterKeys { id -> (jobs[id]?.doneCount ?: 0) > 0 }
-        if (ofProvenJobs.values.sumOf { it.count } >= FEW_FAILURES) return true
+        val ofSoundJobs = evidence.filterKeys { id -> jobs[id]?.failures?.isJobSound == true }
+        if (ofSoundJobs.values.sumOf { it.count } >= FEW_FAILURES) return true
         if (evidence.size < FEW_JOBS) return false
-        // Where none of these jobs has succeeded anywhere yet, their other tasks get time to tell.
-        return ofProvenJobs.isNotEmpty() || evidence.values.all { now - it.last >= SETTLED }
+        // Of jobs that are neither sound nor doubtful yet, other tasks get time to tell.
+        return ofSoundJobs.isNotEmpty() || evidence.values.all { now - it.first >= SETTLED }
     }
 
     private companion object {
@@ -129,6 +135,9 @@
     private val machines = HashSet<HostName>()
     private var tries = 0
 
+    /** A task of the job has completed, or keeps running: it does not fail everywhere. */
+    var isJobSound = false
+
     /** How many tasks failed. */
     var taskCount = 0
         private set
--- a/src/main/kotlin/umberslip/records/Reader.kt
+++ b/src/main/kotlin/umberslip/records/Reader.kt
@@ -50,6 +50,7 @@
     private val maxRequests: Int,
     private val listener: RecordListener,
 ) : Actor<ReaderMessage>("records", scope, DEFAULT_CAPACITY + maxRequests) {
+    private val maxWaiting = DEFAULT_CAPACITY + maxRequests
     private val replica = Replica()
     private var revision: Long? = null
     private var reading = false
@@ -75,7 +76,7 @@
     override suspend fun receive(message: ReaderMessage) {
         when (message) {
             is ReaderMessage.Confirm -> {
-                if (waiting.size < DEFAULT_CAPACITY + maxRequests) waiting.add(message.answer) else message.answer.complete(null)
+                if (waiting.size < maxWaiting) waiting.add(message.answer) else message.answer.complete(null)
             }
             ReaderMessage.Nudge -> nudged = true
             ReaderMessage.Due -> {
--- a/src/main/kotlin/umberslip/state/StateService.kt
+++ b/src/main/kotlin/umberslip/state/StateService.kt
@@ -163,8 +163,8 @@
 
     /**
      * Takes what leaves a reserve for other takers, who then do not wait for this one, or else of a small share that is
-     * set aside, so that it is served under a lasting load of others too. False, at once, where either would take longer
-     * than [patience].
+     * set aside, so that it is served under a lasting load of others too. False, at once, where either would take
+     * longer than [patience].
      */
     suspend fun takeSpare(
         amount: Int,
--- a/src/test/kotlin/umberslip/dispatch/SchedulerStateTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/SchedulerStateTest.kt
@@ -515,7 +515,13 @@
         }
         val tasks =
             placed(job).map {
-                mapOf("piece" to it.id.toString(), "try" to Long.MAX_VALUE, "status" to "ended", "cause" to "unknown", "saved" to true)
+                mapOf(
+                    "piece" to it.id.toString(),
+                    "try" to Long.MAX_VALUE,
+                    "status" to "ended",
+                    "cause" to "unknown",
+                    "saved" to true,
+                )
             }
         assertTrue(tasks.size > 200, "${tasks.size} tasks")
         assertTrue(Documents.jsonSize(tasks) < 64 * 1024, "${Documents.jsonSize(tasks)} bytes")
--- a/src/test/kotlin/umberslip/dispatch/StarvationTest.kt
+++ b/src/test/kotlin/umberslip/dispatch/StarvationTest.kt
@@ -52,7 +52,7 @@
         }
         for (job in large) {
             val begun = job.assigned.size + job.doneCount
-            assertTrue(begun == job.spec.tasks, "seed $seed: ${job.spec.id}: only $begun of ${job.spec.tasks} tasks have begun")
+            assertTrue(begun == job.spec.tasks, "seed $seed: $begun of ${job.spec.tasks} of ${job.spec.id}")
         }
     }
 
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -522,7 +522,7 @@
         }
     }
 
-    /** Answered with the time until the next report: sent on to a controller it goes there soon, else to the next one. */
+    /** Answered with the time until the next report: soon if sent on to a named controller, else to the next one. */
     private suspend fun report(m: SimMachine): Long {
         val sent = now()
         val session = m.session
@@ -990,9 +990,8 @@
     fun run(time: Duration) {
         scheduler.advanceTimeBy(time)
         checkWaiting()
-        if (state.out || members.indices.none { controllers[it] != null && !isFrozen(it) && cutFromState[it] <= now() }) {
-            servedSince = now()
-        }
+        val serving = members.indices.count { controllers[it] != null && !isFrozen(it) && cutFromState[it] <= now() }
+        if (state.out || serving == 0) servedSince = now()
     }
 
     fun end() {
--- a/src/test/kotlin/umberslip/state/PacerTest.kt
+++ b/src/test/kotlin/umberslip/state/PacerTest.kt
@@ -44,7 +44,9 @@
             delay(3.seconds)
             var served = 0
             val began = currentTime
-            while (currentTime - began < 4000) if (pacer.takeSpare(1, 500.milliseconds)) served++ else delay(50.milliseconds)
+            while (currentTime - began < 4000) {
+                if (pacer.takeSpare(1, 500.milliseconds)) served++ else delay(50.milliseconds)
+            }
             others.cancel()
             assertTrue(served in 16..24, "$served questions in 4 s")
         }
