Recovery after a takeover: findings, machines lost in the dark, and what operators see

Need: all controllers fall, and nobody knows what became of the work. Excluded: running tasks are adopted as it is (loopback, none begun twice).

A new owner puts each recorded or reported task into one class with one decision; a generated test holds the scheduler to it. Silent machines that the cloud's list must show and does not are returned, and the answer to that is the proof. The stand-in's list was kinder than the protocol's: it lags now, and may be older than the one before. umberslip recovery prints the state of it as text or JSON with a schema. Cleaned up: reading all records stands once; WarmUp in place of Rehearse.

--- a/src/main/kotlin/umberslip/cli/Main.kt
+++ b/src/main/kotlin/umberslip/cli/Main.kt
@@ -21,13 +21,23 @@
     version = [VERSION],
     mixinStandardHelpOptions = true,
     description = ["A cluster scheduler for batch jobs on rented machines."],
-    subcommands = [Serve::class, Check::class, Rehearse::class],
+    subcommands = [Serve::class, Check::class, Recovery::class, RecoverySchema::class, WarmUp::class],
 )
 class Umberslip : Callable<Int> {
     override fun call(): Int {
         CommandLine.usage(this, System.err)
         return CommandLine.ExitCode.USAGE
     }
+
+    companion object {
+        /** slf4j-simple reads its settings once, before the first logger is made. */
+        fun configureLogging(defaultLevel: String) {
+            System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", System.getenv("LOG_LEVEL") ?: defaultLevel)
+            System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error")
+            System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+            System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
+        }
+    }
 }
 
 /** The two files that a controller reads. */
@@ -77,7 +87,7 @@
 
 /** Used by the build: runs the code that a start needs, so that its classes go into the archive. */
 @Command(name = "warm-up", hidden = true)
-class Rehearse : Callable<Int> {
+class WarmUp : Callable<Int> {
     override fun call(): Int {
         ClassWarmUp.run()
         return 0
@@ -85,11 +95,7 @@
 }
 
 fun main(args: Array<String>) {
-    // slf4j-simple reads its level once, before the first logger is made.
-    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", System.getenv("LOG_LEVEL") ?: "info")
-    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error")
-    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
-    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
+    Umberslip.configureLogging("info")
     val line = CommandLine(Umberslip())
     line.setExecutionExceptionHandler { e, _, _ ->
         if (e !is BadSettings) throw e
--- /dev/null
+++ b/src/main/kotlin/umberslip/cli/Recovery.kt
@@ -0,0 +1,85 @@
+package umberslip.cli
+
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.Spec
+import umberslip.http.NoAnswer
+import umberslip.http.Unavailable
+import umberslip.recovery.ControllerMetrics
+import umberslip.recovery.RecordedWork
+import umberslip.recovery.RecordsAnswer
+import umberslip.recovery.RecoveryReport
+import umberslip.settings.Settings
+import java.util.concurrent.Callable
+
+/** Shows how far the owner has come after a takeover. Only reads, from the state service and controllers' metrics. */
+@Command(
+    name = "recovery",
+    mixinStandardHelpOptions = true,
+    description = ["Show what became of the work that the present owner took over."],
+    exitCodeListHeading = "Exit codes:%n",
+    exitCodeList = [
+        "0:settled",
+        "1:the settings cannot be read",
+        "2:wrong usage",
+        "3:recovering",
+        "4:nobody owns",
+        "5:the owner was not heard",
+        "6:neither the records nor an owner could be read",
+    ],
+)
+class Recovery :
+    WithSettings(),
+    Callable<Int> {
+    @Option(
+        names = ["--controller"],
+        paramLabel = "HOST:PORT",
+        description = ["a controller's address for users; may be repeated (default: that of the settings file)"],
+    )
+    var controllers: List<String> = emptyList()
+
+    @Option(names = ["--json"], description = ["print JSON; recovery-schema prints its schema"])
+    var json: Boolean = false
+
+    @Spec
+    lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        val out = spec.commandLine().out
+        val (settings, _) = load()
+        val addresses = if (controllers.isEmpty()) listOf(settings.bind) else controllers.map(Settings::address)
+        val report = RecoveryReport(readRecords(settings), ControllerMetrics().let { addresses.map(it::ask) })
+        out.println(if (json) report.toJson() else report.toText())
+        out.flush()
+        return report.status.exitCode
+    }
+
+    private fun readRecords(settings: Settings): RecordsAnswer =
+        try {
+            RecordsAnswer.Read(StateServiceReader.read(settings) { RecordedWork.read(it, settings) })
+        } catch (e: Unavailable) {
+            RecordsAnswer.Unreadable(e.message ?: "unavailable")
+        } catch (e: NoAnswer) {
+            RecordsAnswer.Unreadable(e.message ?: "no answer")
+        }
+}
+
+/** For programs that read the report. */
+@Command(
+    name = "recovery-schema",
+    mixinStandardHelpOptions = true,
+    description = ["Print the JSON Schema of recovery --json."],
+)
+class RecoverySchema : Callable<Int> {
+    @Spec
+    lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        spec.commandLine().out.run {
+            println(RecoveryReport.schema())
+            flush()
+        }
+        return 0
+    }
+}
--- a/src/main/kotlin/umberslip/daemon/Controller.kt
+++ b/src/main/kotlin/umberslip/daemon/Controller.kt
@@ -93,7 +93,7 @@
             metrics,
         )
     private val fleet =
-        Fleet(scope, settings, tuning, cloud, state, authority, owner, clock, wallClock) {
+        Fleet(scope, settings, tuning, timings, cloud, state, authority, owner, clock, wallClock) {
             admission.post(AdmissionMessage.Flavors(it))
             owner.post(OwnerMessage.Flavors(it))
         }
--- a/src/main/kotlin/umberslip/dispatch/Owner.kt
+++ b/src/main/kotlin/umberslip/dispatch/Owner.kt
@@ -27,6 +27,8 @@
 import umberslip.records.OwnerRecord
 import umberslip.records.RecordEvent
 import umberslip.records.RecordView
+import umberslip.recovery.RecoveryMetrics
+import umberslip.recovery.RecoveryTracker
 import umberslip.settings.Settings
 import umberslip.settings.Timings
 import umberslip.settings.Tuning
@@ -119,7 +121,7 @@
     private val authority: Authority,
     private val nudge: () -> Unit,
     private val peerHealth: () -> PeerHealth,
-    metrics: MeterRegistry,
+    private val metrics: MeterRegistry,
 ) : Actor<OwnerMessage>("dispatch", scope, DEFAULT_CAPACITY + settings.sockets) {
     private class Waiting(
         val mark: Mark,
@@ -149,6 +151,7 @@
     private val written = metrics.counter("umberslip.writes")
 
     override fun start(): Job {
+        if (tuning.recovery.track) RecoveryMetrics(metrics) { scheduler?.recovery?.snapshot(clock.now()) }.register()
         scope.launch {
             while (true) {
                 delay(TICK)
@@ -208,7 +211,8 @@
     ) {
         val term = authority.term ?: return
         val version = authority.version ?: return
-        val fresh = SchedulerState(settings, timings, term, version, wallClock)
+        val recovery = if (tuning.recovery.track) RecoveryTracker(term, now) else null
+        val fresh = SchedulerState(settings, timings, term, version, wallClock, recovery = recovery)
         fresh.setFlavors(flavors)
         fresh.load(message.records, now, message.silentUntil)
         scheduler = fresh
--- a/src/main/kotlin/umberslip/dispatch/SchedulerState.kt
+++ b/src/main/kotlin/umberslip/dispatch/SchedulerState.kt
@@ -22,6 +22,8 @@
 import umberslip.records.TaskId
 import umberslip.records.Term
 import umberslip.records.Versioned
+import umberslip.recovery.RecoveryTracker
+import umberslip.recovery.TaskFinding
 import umberslip.settings.Settings
 import umberslip.settings.Timings
 import umberslip.state.Version
@@ -59,6 +61,7 @@
     ownerVersion: Version,
     private val wallClock: () -> Instant,
     logSlots: Int = PendingWrites.slotCount(settings.stateLimits.valueBytes),
+    val recovery: RecoveryTracker? = null,
 ) {
     private val log = LoggerFactory.getLogger("umberslip.dispatch")
     private val perChunk = ChunkRecord.tasksPerChunk(settings.stateLimits.chunkBytes)
@@ -110,6 +113,7 @@
             for (host in it.value.hosts) machines[host]?.condemnedAt = now
         }
         for (job in jobs.values) changed(job)
+        recovery?.tookOver(machines.mapValues { it.value.assignments.size }.filterValues { it > 0 }, now)
     }
 
     private fun load(
@@ -295,6 +299,7 @@
             machine.takenAt = now + warning.seconds
             log.info("machine {} will be taken back in {} s", machine.name.value, warning)
         }
+        if (!machine.proven) recovery?.heard(machine.name, TaskFinding.of(machine, report.tasks, jobs).values, now)
         machine.proven = true
         reconcile(machine, report, newSession, now)
         return Verdict.ANSWER
@@ -558,6 +563,7 @@
         now: Duration,
     ) {
         for (a in machine.assignments.values.toList()) if (a.reserved) detach(a) else release(a, now)
+        recovery?.gone(machine.name, now)
         machine.reported = emptyMap()
         machine.awaitingClear.clear()
         machine.proven = false
--- a/src/main/kotlin/umberslip/fleet/Fleet.kt
+++ b/src/main/kotlin/umberslip/fleet/Fleet.kt
@@ -11,6 +11,7 @@
 import umberslip.cloud.Flavor
 import umberslip.cloud.HostName
 import umberslip.cloud.HostStatus
+import umberslip.cloud.ListedHost
 import umberslip.cloud.Offer
 import umberslip.dispatch.Owner
 import umberslip.dispatch.OwnerMessage
@@ -20,7 +21,10 @@
 import umberslip.http.Unavailable
 import umberslip.ownership.Authority
 import umberslip.records.Keys
+import umberslip.recovery.KnownMachine
+import umberslip.recovery.MissingMachines
 import umberslip.settings.Settings
+import umberslip.settings.Timings
 import umberslip.settings.Tuning
 import umberslip.state.Guard
 import umberslip.state.StateService
@@ -38,6 +42,7 @@
     private val scope: CoroutineScope,
     private val settings: Settings,
     private val tuning: Tuning,
+    timings: Timings,
     private val cloud: Cloud,
     private val state: StateService,
     private val authority: Authority,
@@ -48,6 +53,7 @@
 ) {
     private val log = LoggerFactory.getLogger("umberslip.fleet")
     private val planner = FleetPlanner(tuning)
+    private val missingMachines = if (tuning.recovery.returnMissing) MissingMachines(settings, timings) else null
     private var flavors: Map<String, Flavor> = emptyMap()
     private var flavorsAt: Duration? = null
     private var listedAt: Duration? = null
@@ -249,6 +255,7 @@
     ) {
         val all = cloud.hosts()
         listedAt = now
+        returnMissing(all, view, now)
         val reporting = view.machines.associateBy { it.name }
         // Noted by a former owner, or rented long enough ago to be listed, and not there: gone.
         val listed = all.mapTo(HashSet()) { it.name }
@@ -279,6 +286,20 @@
         }
     }
 
+    /** Silent machines that the list would show if they existed: taken back while nobody heard of it. */
+    private suspend fun returnMissing(
+        all: List<ListedHost>,
+        view: FleetView,
+        listBegan: Duration,
+    ) {
+        val known = view.machines.map { KnownMachine(it.name, it.rentedBefore, it.unheardFor) }
+        val listed = all.mapTo(HashSet()) { it.name }
+        val missing = missingMachines?.of(listBegan, listed, known).orEmpty().filter { it !in releases && it !in gone }
+        if (missing.isEmpty()) return
+        log.warn("{} silent machines are not listed any more: {}", missing.size, missing.joinToString { it.value })
+        takeAway(missing, evenIfBusy = true)
+    }
+
     private fun giveUpBooting(
         view: FleetView,
         now: Duration,
--- a/src/main/kotlin/umberslip/fleet/FleetPlan.kt
+++ b/src/main/kotlin/umberslip/fleet/FleetPlan.kt
@@ -59,6 +59,8 @@
     /** As [silentFor], with what other controllers heard. */
     val unheardFor: Duration,
     val leaseOver: Boolean,
+    /** A time by which it was rented for certain. */
+    val rentedBefore: Duration,
     val runningCpus: Double,
     val fetchingCpus: Double,
 )
@@ -135,6 +137,7 @@
                 m.lastHeard?.let { now - it },
                 m.silence(now),
                 m.leaseEnd <= now,
+                m.firstHeard ?: m.loadedAt,
                 m.assignments.values.sumOf { if (it.status == TaskState.RUNNING) it.room.cpus else 0.0 },
                 m.assignments.values.sumOf { if (it.status == TaskState.FETCHING) it.room.cpus else 0.0 },
             )
--- a/src/main/kotlin/umberslip/http/Documents.kt
+++ b/src/main/kotlin/umberslip/http/Documents.kt
@@ -38,6 +38,12 @@
         return out.toByteArray()
     }
 
+    fun writeJson(value: Any?): String {
+        val out = ByteArrayOutputStream(BUFFER_BYTES)
+        json.createGenerator(out).use { write(it, value) }
+        return out.toString(Charsets.UTF_8)
+    }
+
     /** The size that the protocol's limits count: that of the JSON form. */
     fun jsonSize(value: Any?): Int {
         val out = ByteArrayOutputStream(BUFFER_BYTES)
--- a/src/main/kotlin/umberslip/records/Reader.kt
+++ b/src/main/kotlin/umberslip/records/Reader.kt
@@ -9,7 +9,6 @@
 import umberslip.actor.Clock
 import umberslip.http.NoAnswer
 import umberslip.http.Unavailable
-import umberslip.state.Entry
 import umberslip.state.StateService
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -151,21 +150,11 @@
     }
 
     private suspend fun readAll(): List<RecordEvent> {
-        val entries = ArrayList<Entry>()
-        var first: Long? = null
-        var after: String? = null
-        while (true) {
-            val page = state.list(Keys.ROOT, after)
-            // Changes are taken up from the first page's revision: what the later pages already
-            // show is then seen twice, which does no harm.
-            if (first == null) first = page.revision
-            entries += page.entries
-            if (!page.more || page.entries.isEmpty()) break
-            after = page.entries.last().key
-        }
-        revision = first
-        log.info("read {} records at revision {}", entries.size, first)
-        return replica.replace(entries)
+        // Changes are taken up from the first page's revision: what the later pages already show is then seen twice.
+        val pages = RecordPages.read(state)
+        revision = pages.revision
+        log.info("read {} records at revision {}", pages.entries.size, pages.revision)
+        return replica.replace(pages.entries)
     }
 
     private fun failed(why: String?) {
--- a/src/main/kotlin/umberslip/records/Replica.kt
+++ b/src/main/kotlin/umberslip/records/Replica.kt
@@ -67,6 +67,9 @@
     private val rowsOf = HashMap<JobId, HashMap<Int, LogRow>>()
     private val corrupt = HashSet<String>()
 
+    /** The keys of records that cannot be read; they are left alone. */
+    val unreadable: Set<String> get() = corrupt
+
     override var owner: Versioned<OwnerRecord>? = null
         private set
     override var term: Versioned<Term>? = null
--- /dev/null
+++ b/src/main/kotlin/umberslip/recovery/ControllerMetrics.kt
@@ -0,0 +1,108 @@
+package umberslip.recovery
+
+import umberslip.records.Term
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+/** What one controller says of the recovery, or why it says nothing. */
+sealed interface ControllerAnswer {
+    val address: String
+
+    /** It owns; the snapshot is that of its term. */
+    data class Owner(
+        override val address: String,
+        val snapshot: RecoverySnapshot,
+    ) : ControllerAnswer
+
+    data class NotOwner(
+        override val address: String,
+    ) : ControllerAnswer
+
+    /** It serves metrics, and recovery is not tracked there. */
+    data class NotTracked(
+        override val address: String,
+    ) : ControllerAnswer
+
+    data class Unreachable(
+        override val address: String,
+        val why: String,
+    ) : ControllerAnswer
+}
+
+/** Reads the metrics that [RecoveryMetrics] publishes, over the controllers' HTTP interface. */
+class ControllerMetrics(
+    private val timeout: Duration = 3.seconds,
+) {
+    private val client = HttpClient.newBuilder().connectTimeout(timeout.toJavaDuration()).build()
+
+    fun ask(address: InetSocketAddress): ControllerAnswer {
+        val name = "${address.hostString}:${address.port}"
+        val request =
+            HttpRequest.newBuilder(URI.create("http://$name/metrics")).timeout(timeout.toJavaDuration()).build()
+        return try {
+            val response = client.send(request, HttpResponse.BodyHandlers.ofString())
+            if (response.statusCode() == OK) {
+                parse(name, response.body())
+            } else {
+                ControllerAnswer.Unreachable(name, "answered ${response.statusCode()}")
+            }
+        } catch (e: IOException) {
+            ControllerAnswer.Unreachable(name, e.message ?: "no connection")
+        }
+    }
+
+    companion object {
+        private const val OK = 200
+
+        /** Prometheus' text format: one sample a line, `name{labels} value`. */
+        fun parse(
+            address: String,
+            metrics: String,
+        ): ControllerAnswer {
+            val samples = HashMap<String, Double>()
+            for (line in metrics.lineSequence()) {
+                if (line.startsWith('#')) continue
+                line.substringAfterLast(' ').toDoubleOrNull()?.let { samples[line.substringBeforeLast(' ')] = it }
+            }
+            val term = samples[exported(RecoveryMetrics.TERM)] ?: return ControllerAnswer.NotTracked(address)
+            if (term == 0.0) return ControllerAnswer.NotOwner(address)
+            return ControllerAnswer.Owner(address, snapshot(samples))
+        }
+
+        private fun snapshot(samples: Map<String, Double>): RecoverySnapshot {
+            fun count(name: String) = samples[exported(name)]?.toInt() ?: 0
+
+            fun time(name: String) = samples[exported(name)]?.takeIf { it.isFinite() }?.seconds
+            return RecoverySnapshot(
+                term = Term(count(RecoveryMetrics.TERM).toLong()),
+                phase = RecoveryPhase.entries[count(RecoveryMetrics.PHASE)],
+                elapsed = time(RecoveryMetrics.ELAPSED) ?: Duration.ZERO,
+                recordedTasks = count(RecoveryMetrics.RECORDED_TASKS),
+                unheardMachines = count(RecoveryMetrics.UNHEARD_MACHINES),
+                unheardTasks = count(RecoveryMetrics.UNHEARD_TASKS),
+                lostTasks = count(RecoveryMetrics.LOST_TASKS),
+                findings = findings(samples),
+                firstAdoption = time(RecoveryMetrics.FIRST_ADOPTION),
+                mostAccountedFor = time(RecoveryMetrics.MOST_ACCOUNTED_FOR),
+                settled = time(RecoveryMetrics.SETTLED),
+            )
+        }
+
+        private fun findings(samples: Map<String, Double>): Map<TaskFinding, Int> =
+            TaskFinding.entries
+                .associateWith { finding ->
+                    val label = "${RecoveryMetrics.FINDING_TAG}=\"${finding.name.lowercase()}\""
+                    samples["${exported(RecoveryMetrics.FINDINGS)}{$label}"]?.toInt() ?: 0
+                }.filterValues { it > 0 }
+
+        /** As Micrometer's Prometheus registry writes a meter's name. */
+        private fun exported(name: String) = name.replace('.', '_')
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/recovery/MissingMachines.kt
@@ -0,0 +1,47 @@
+package umberslip.recovery
+
+import umberslip.cloud.HostName
+import umberslip.settings.Settings
+import umberslip.settings.Timings
+import kotlin.time.Duration
+
+/** A machine that the owner knows of, and since when it is known to have been rented. */
+class KnownMachine(
+    val name: HostName,
+    val rentedBefore: Duration,
+    val silentFor: Duration,
+)
+
+/**
+ * Finds machines that the cloud's list must show if they still exist, and does not. The list may be as old as twice the
+ * lag that the settings name, and a machine stays listed from then until it is gone; so a list that was asked for later
+ * than that after the machine was known to be rented proves the loss. Pure: time is an input.
+ *
+ * The caller still returns such a machine to the cloud before it starts the tasks elsewhere, and so rests on the
+ * cloud's answer alone: a list that breaks its promise costs a machine, never a rule.
+ */
+class MissingMachines(
+    settings: Settings,
+    timings: Timings,
+) {
+    /** After this long, a machine is listed for certain. */
+    private val listedWithin = timings.stretched(settings.listLag * MOST_LAGS) + timings.margin
+
+    /** A machine that was heard this recently exists, whatever a list says. */
+    private val heardLately = settings.workers.report * REPORTS_MISSED
+
+    fun of(
+        listBegan: Duration,
+        listed: Set<HostName>,
+        machines: Collection<KnownMachine>,
+    ): List<HostName> =
+        machines
+            .filter { it.name !in listed && listBegan >= it.rentedBefore + listedWithin && it.silentFor > heardLately }
+            .map { it.name }
+
+    private companion object {
+        /** The list lags by twice the nominal time at most. */
+        const val MOST_LAGS = 2
+        const val REPORTS_MISSED = 3
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/recovery/RecordedWork.kt
@@ -0,0 +1,90 @@
+package umberslip.recovery
+
+import umberslip.cloud.HostName
+import umberslip.dispatch.SchedulerState
+import umberslip.records.JobId
+import umberslip.records.Keys
+import umberslip.records.RecordPages
+import umberslip.records.Replica
+import umberslip.records.TaskId
+import umberslip.records.Term
+import umberslip.settings.Settings
+import umberslip.settings.Timings
+import umberslip.settings.Tuning
+import umberslip.state.StateService
+import umberslip.state.Version
+import java.time.Instant
+import kotlin.time.Duration
+
+/** Where a task's start is recorded, and under which attempt. */
+data class RecordedStart(
+    val host: HostName,
+    val attempt: Long,
+)
+
+/** What a new owner would take over at one moment, as the state service's records say. */
+class RecordedWork(
+    val owner: String?,
+    val term: Term,
+    val jobs: Set<JobId>,
+    val cancelled: Set<JobId>,
+    val doneTasks: Map<JobId, Int>,
+    val starts: Map<TaskId, RecordedStart>,
+    /** Keys that are left alone since their records cannot be read. */
+    val unreadable: Set<String>,
+) {
+    val unfinishedJobs: Int get() = jobs.size - cancelled.size
+
+    val machinesWithTasks: Int get() = starts.values.mapTo(HashSet()) { it.host }.size
+
+    /** In lines, for people. */
+    fun toText(): List<String> =
+        listOf(
+            "records: owner ${owner ?: "nobody"}, term ${term.value}",
+            "  $unfinishedJobs unfinished jobs, ${cancelled.size} cancelled with tasks left",
+            "  ${starts.size} started tasks on $machinesWithTasks machines",
+        ) + unreadable.sorted().map { "  record $it cannot be read" }
+
+    companion object {
+        /** Reads the records and changes nothing; takes as many requests as they have pages, and one more. */
+        suspend fun read(
+            state: StateService,
+            settings: Settings,
+        ): RecordedWork {
+            val pages = RecordPages.read(state)
+            val replica = Replica()
+            replica.replace(pages.entries)
+            state.changes(Keys.ROOT, pages.revision)?.changes?.forEach { replica.apply(it) }
+            return of(replica, settings)
+        }
+
+        /** Loaded as a new owner loads the records, so that both understand the same. */
+        fun of(
+            replica: Replica,
+            settings: Settings,
+        ): RecordedWork {
+            val term = replica.term?.value ?: Term(0)
+            val timings = Timings(settings.workers, Tuning())
+            val scheduler = SchedulerState(settings, timings, term, Version.NONE, { Instant.now() })
+            scheduler.load(replica, Duration.ZERO, Duration.ZERO)
+            val starts = HashMap<TaskId, RecordedStart>()
+            for (machine in scheduler.machines.values) {
+                for ((task, assignment) in machine.assignments) {
+                    starts[task] = RecordedStart(machine.name, assignment.attempt)
+                }
+            }
+            return RecordedWork(
+                owner = replica.owner?.value?.member,
+                term = term,
+                jobs = scheduler.jobs.keys.toSet(),
+                cancelled =
+                    scheduler.jobs.values
+                        .filter { it.cancelled }
+                        .mapTo(HashSet()) { it.spec.id },
+                doneTasks = scheduler.jobs.mapValues { (_, job) -> job.doneCount },
+                starts = starts,
+                unreadable = replica.unreadable.toSet(),
+            )
+        }
+    }
+}
--- a/src/main/kotlin/umberslip/settings/Settings.kt
+++ b/src/main/kotlin/umberslip/settings/Settings.kt
@@ -198,14 +198,18 @@
         private fun address(
             f: Fields,
             name: String,
-        ): InetSocketAddress {
-            val text = f.text(name)
+        ): InetSocketAddress =
+            try {
+                address(f.text(name))
+            } catch (e: BadSettings) {
+                throw BadSettings("${f.path(name)}: ${e.message}")
+            }
+
+        /** Only numbers: there are no name look-ups where controllers run. */
+        fun address(text: String): InetSocketAddress {
             val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..MAX_PORT }
             val host = text.substringBeforeLast(':')
-            // Only numbers: there are no name look-ups where controllers run.
-            if (port == null || !IPV4.matches(host)) {
-                throw BadSettings("${f.path(name)} is not an IPv4 address and port: $text")
-            }
+            if (port == null || !IPV4.matches(host)) throw BadSettings("not an IPv4 address and port: $text")
             return InetSocketAddress(host, port)
         }
 
--- a/src/main/kotlin/umberslip/settings/Tuning.kt
+++ b/src/main/kotlin/umberslip/settings/Tuning.kt
@@ -7,6 +7,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** What is switched on of the recovery after a takeover; everything is off unless operators ask for it. */
+data class RecoveryTuning(
+    /** Compares records and reports after a takeover, and publishes what it finds. */
+    val track: Boolean = false,
+    /** Returns silent machines that the cloud's list should show and does not. */
+    val returnMissing: Boolean = false,
+)
+
 /** The operators' own settings (TOML); every one has a default. */
 data class Tuning(
     /** How long the owner's record outlives its last renewal. */
@@ -21,6 +29,7 @@
     val boot: Duration = 25.seconds,
     /** A machine that is not needed is returned after this long. */
     val idle: Duration = 15.seconds,
+    val recovery: RecoveryTuning = RecoveryTuning(),
 ) {
     companion object {
         fun parse(toml: String): Tuning {
@@ -35,6 +44,7 @@
                     "ownership" to setOf("hold_s", "margin_s"),
                     "dispatch" to setOf("round_budget_ms"),
                     "fleet" to setOf("drain_s", "boot_s", "idle_s"),
+                    "recovery" to setOf("track", "return_missing"),
                 )
             for (section in config.entrySet()) {
                 val names =
@@ -59,6 +69,13 @@
                     }
                     else -> throw BadSettings("operators' settings: $path is not a number")
                 }
+
+            fun flag(path: String): Boolean? =
+                when (val it = config.get<Any?>(path)) {
+                    null -> null
+                    is Boolean -> it
+                    else -> throw BadSettings("operators' settings: $path is not true or false")
+                }
             val d = Tuning()
             return Tuning(
                 ownerLease = number("ownership.hold_s")?.seconds ?: d.ownerLease,
@@ -67,6 +84,11 @@
                 drain = number("fleet.drain_s")?.seconds ?: d.drain,
                 boot = number("fleet.boot_s")?.seconds ?: d.boot,
                 idle = number("fleet.idle_s")?.seconds ?: d.idle,
+                recovery =
+                    RecoveryTuning(
+                        track = flag("recovery.track") ?: d.recovery.track,
+                        returnMissing = flag("recovery.return_missing") ?: d.recovery.returnMissing,
+                    ),
             )
         }
     }
--- a/src/test/kotlin/umberslip/dispatch/TestScheduler.kt
+++ b/src/test/kotlin/umberslip/dispatch/TestScheduler.kt
@@ -16,6 +16,7 @@
 import umberslip.records.TaskId
 import umberslip.records.Term
 import umberslip.records.Versioned
+import umberslip.recovery.RecordedWork
 import umberslip.settings.Settings
 import umberslip.settings.Timings
 import umberslip.settings.Tuning
@@ -169,6 +170,9 @@
         }
     }
 
+    /** What an operator is told of the records as they stand. */
+    fun recorded(): RecordedWork = RecordedWork.of(replica, settings)
+
     fun successor() =
         TestScheduler(term.next(), replica, settingsJson, logSlots).also {
             it.now = now
--- a/src/test/kotlin/umberslip/fleet/FleetPlannerTest.kt
+++ b/src/test/kotlin/umberslip/fleet/FleetPlannerTest.kt
@@ -34,6 +34,7 @@
         0.seconds,
         0.seconds,
         false,
+        0.seconds,
         0.0,
         0.0,
     )
--- /dev/null
+++ b/src/test/kotlin/umberslip/recovery/MissingMachinesTest.kt
@@ -0,0 +1,65 @@
+package umberslip.recovery
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import umberslip.cloud.HostName
+import umberslip.settings.Settings
+import umberslip.settings.Timings
+import umberslip.settings.Tuning
+import umberslip.sim.Samples
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class MissingMachinesTest {
+    private val settings = Settings.parse(Samples.settingsJson("c-0"))
+    private val missing = MissingMachines(settings, Timings(settings.workers, Tuning()))
+
+    private class Life(
+        val name: HostName,
+        val from: Duration,
+        val to: Duration,
+    )
+
+    /** Lists are up to twice the lag old, and one may be older than the one before. */
+    @Test
+    fun `a machine that exists is never taken for gone, whatever the lists' age`() {
+        var found = 0
+        for (seed in 1..500) {
+            val random = Random(seed)
+            val lives =
+                List(8) {
+                    val from = random.nextInt(60_000).milliseconds
+                    Life(HostName("m$it"), from, from + random.nextInt(90_000).milliseconds)
+                }
+            repeat(40) {
+                val began = random.nextInt(150_000).milliseconds
+                val asOf = began - settings.listLag * random.nextDouble(0.0, 2.0)
+                val listed = lives.filter { it.from <= asOf && asOf < it.to }.mapTo(HashSet()) { it.name }
+                // Known from some time after the rental on; silent for any time.
+                val known =
+                    lives.map { life ->
+                        val since = life.from + random.nextInt(20_000).milliseconds
+                        KnownMachine(life.name, since, random.nextInt(30_000).milliseconds)
+                    }
+                for (name in missing.of(began, listed, known)) {
+                    found++
+                    val life = lives.first { it.name == name }
+                    assertTrue(life.to <= began, "seed $seed: $name exists until ${life.to}, list of $began")
+                }
+            }
+        }
+        assertTrue(found > 1000, "only $found machines were found missing")
+    }
+
+    @Test
+    fun `it is found in the first list that must show it, unless it was just heard`() {
+        val known = KnownMachine(HostName("m"), 100.seconds, 20.seconds)
+        val heard = KnownMachine(HostName("n"), 100.seconds, 2.seconds)
+        assertEquals(emptyList<HostName>(), missing.of(108.seconds, emptySet(), listOf(known, heard)))
+        assertEquals(listOf(known.name), missing.of(110.seconds, emptySet(), listOf(known, heard)))
+        assertEquals(emptyList<HostName>(), missing.of(110.seconds, setOf(known.name), listOf(known)))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/recovery/RecoveryReportTest.kt
@@ -0,0 +1,176 @@
+package umberslip.recovery
+
+import com.networknt.schema.InputFormat
+import com.networknt.schema.SchemaRegistry
+import com.networknt.schema.SpecificationVersion
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import umberslip.cloud.HostName
+import umberslip.dispatch.TestScheduler
+import umberslip.records.JobId
+import umberslip.records.TaskId
+import umberslip.records.Term
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What operators read agrees with what a controller found, and keeps to the published schema. */
+class RecoveryReportTest {
+    private val schema =
+        SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12).getSchema(RecoveryReport.schema())
+
+    private fun snapshot(
+        random: Random,
+        phase: RecoveryPhase = RecoveryPhase.entries.random(random),
+        term: Long = random.nextLong(1, 1000),
+    ): RecoverySnapshot {
+        fun time(): Duration? = random.nextInt(100_000).milliseconds.takeIf { random.nextBoolean() }
+        return RecoverySnapshot(
+            Term(term),
+            phase,
+            random.nextInt(100_000).milliseconds,
+            random.nextInt(5000),
+            random.nextInt(50),
+            random.nextInt(500),
+            random.nextInt(500),
+            TaskFinding.entries.filter { random.nextBoolean() }.associateWith { random.nextInt(1, 900) },
+            time(),
+            time(),
+            time(),
+        )
+    }
+
+    private fun records(
+        owner: String?,
+        term: Long,
+    ) = RecordsAnswer.Read(
+        RecordedWork(
+            owner,
+            Term(term),
+            jobs = List(5) { JobId("run-$it") }.toSet(),
+            cancelled = setOf(JobId("run-0")),
+            doneTasks = emptyMap(),
+            starts = List(30) { TaskId(JobId("run-1"), it) to RecordedStart(HostName("m${it % 7}"), 1) }.toMap(),
+            unreadable = setOf("u/job/run-1"),
+        ),
+    )
+
+    private fun published(snapshot: RecoverySnapshot?): ControllerAnswer {
+        val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+        RecoveryMetrics(registry) { snapshot }.register()
+        return ControllerMetrics.parse("10.0.0.1:8080", registry.scrape())
+    }
+
+    @Test
+    fun `a snapshot comes through the metrics as it was`() {
+        for (seed in 1..50) {
+            val snapshot = snapshot(Random(seed))
+            assertEquals(ControllerAnswer.Owner("10.0.0.1:8080", snapshot), published(snapshot))
+        }
+        assertEquals(ControllerAnswer.NotOwner("10.0.0.1:8080"), published(null))
+        val without = ControllerMetrics.parse("a:1", "umberslip_reports_total 4.0\n")
+        assertEquals(ControllerAnswer.NotTracked("a:1"), without)
+    }
+
+    @Test
+    fun `a controller that is away is named with the reason`() {
+        val port = ServerSocket(0).use { it.localPort }
+        val answer = ControllerMetrics().ask(InetSocketAddress("127.0.0.1", port))
+        assertTrue(answer is ControllerAnswer.Unreachable, "$answer")
+    }
+
+    @Test
+    fun `the status follows the highest term that anybody knows`() {
+        val settled = ControllerAnswer.Owner("a:1", snapshot(Random(1), RecoveryPhase.SETTLED, 5))
+        val adopting = ControllerAnswer.Owner("b:1", snapshot(Random(2), RecoveryPhase.ADOPTING, 6))
+        val away = ControllerAnswer.Unreachable("c:1", "refused")
+        val unreadable = RecordsAnswer.Unreadable("503")
+
+        fun status(
+            records: RecordsAnswer,
+            vararg controllers: ControllerAnswer,
+        ) = RecoveryReport(records, controllers.toList()).status
+        assertEquals(RecoveryStatus.SETTLED, status(records("c-0", 5), settled, away))
+        assertEquals(RecoveryStatus.RECOVERING, status(records("c-1", 6), settled, adopting))
+        assertEquals(RecoveryStatus.SETTLED, status(unreadable, settled), "the owner's word suffices")
+        assertEquals(RecoveryStatus.OWNER_NOT_HEARD, status(records("c-2", 7), settled, adopting))
+        assertEquals(RecoveryStatus.NO_OWNER, status(records(null, 6), away))
+        assertEquals(RecoveryStatus.OWNER_NOT_HEARD, status(records("c-2", 7), away))
+        assertEquals(RecoveryStatus.UNKNOWN, status(unreadable, away))
+    }
+
+    @Test
+    fun `the JSON keeps to the schema, and the schema refuses what it should`() {
+        for (seed in 1..200) {
+            val random = Random(seed)
+            val records = if (random.nextInt(4) == 0) RecordsAnswer.Unreadable("out") else records("c-0", 3)
+            val controllers =
+                List(random.nextInt(4)) {
+                    when (random.nextInt(4)) {
+                        0 -> ControllerAnswer.NotOwner("a:1")
+                        1 -> ControllerAnswer.NotTracked("a:1")
+                        2 -> ControllerAnswer.Unreachable("a:1", "refused")
+                        else -> ControllerAnswer.Owner("a:1", snapshot(random))
+                    }
+                }
+            val json = RecoveryReport(records, controllers).toJson()
+            assertEquals(emptyList<Any>(), schema.validate(json, InputFormat.JSON), json)
+        }
+        val owner = ControllerAnswer.Owner("a:1", snapshot(Random(1)))
+        val good = RecoveryReport(records("c-0", 3), listOf(owner)).toJson()
+        for ((from, to) in listOf(
+            "\"version\":1" to "\"version\":2",
+            "\"state\":\"owner\"" to "\"state\":\"not_owner\"",
+            "\"unfinished_jobs\":4" to "\"unfinished_jobs\":-4",
+            "\"recorded_tasks\"" to "\"tasks\"",
+        )) {
+            assertTrue(from in good, good)
+            assertFalse(schema.validate(good.replace(from, to), InputFormat.JSON).isEmpty(), "$to is refused")
+        }
+    }
+
+    @Test
+    fun `what the records say is counted as the next owner would take it over`() {
+        val scheduler = TestScheduler()
+        val job = scheduler.job { it.copy(tasks = 5) }
+        val cancelled = scheduler.job { it.copy(tasks = 1) }
+        scheduler.report("m1")
+        scheduler.deal("m1")
+        scheduler.write()
+        scheduler.cancel(cancelled)
+        val state = scheduler.recorded()
+        val started = scheduler.machine("m1").assignments.size
+        assertTrue(started > 0, "nothing of ${job.spec.id} was started")
+        assertEquals(started, state.starts.size)
+        assertEquals(1, state.machinesWithTasks)
+        assertEquals(2, state.jobs.size)
+    }
+
+    @Test
+    fun `the text names what cannot be read and who is away`() {
+        val report =
+            RecoveryReport(
+                records("c-0", 3),
+                listOf(
+                    ControllerAnswer.Unreachable("b:1", "refused"),
+                    ControllerAnswer.Owner("a:1", snapshot(Random(1), RecoveryPhase.ADOPTING, 3).copy(settled = null)),
+                ),
+            )
+        val text = report.toText()
+        val expected =
+            listOf(
+                "status: recovering",
+                "u/job/run-1 cannot be read",
+                "b:1: unreachable: refused",
+                "settled after (not yet)",
+            )
+        for (part in expected) assertTrue(part in text, text)
+    }
+}
--- a/src/test/kotlin/umberslip/settings/SettingsTest.kt
+++ b/src/test/kotlin/umberslip/settings/SettingsTest.kt
@@ -55,6 +55,8 @@
             "[fleet]\ndrain_s = -1",
             "[fleet]\ndrain_s = \"x\"",
             "[ownership]\nhold_s =",
+            "[recovery]\ntrack = 1",
+            "[recovery]\nadopt = true",
         )
         ) {
             assertThrows(BadSettings::class.java, { Tuning.parse(bad) }, bad)
--- a/src/test/kotlin/umberslip/sim/FleetSizeTest.kt
+++ b/src/test/kotlin/umberslip/sim/FleetSizeTest.kt
@@ -28,9 +28,12 @@
     fun `no report of four thousand machines is dropped and no lease is lost`() {
         val size = WorldSize(500, 7, 500, 10_000, flavors(4.0, 8.0))
         val world =
-            World(9, Mischief(0.0, 0.0), size) {
-                Samples.largeFleetJson(it).replace(""""sockets":200""", """"sockets":5000""")
-            }
+            World(
+                9,
+                Mischief(0.0, 0.0),
+                size,
+                { Samples.largeFleetJson(it).replace(""""sockets":200""", """"sockets":5000""") },
+            )
         repeat(size.members) { world.startController(it) }
         val random = Random(9)
         repeat(130) { number ->
--- a/src/test/kotlin/umberslip/sim/SimMachine.kt
+++ b/src/test/kotlin/umberslip/sim/SimMachine.kt
@@ -29,6 +29,9 @@
     var lastAnswered = Duration.ZERO
     var target = 0
     var gone = false
+
+    /** The cloud's list shows it until then, as of the time that the list describes. */
+    var goneAt = Duration.INFINITE
     var hungUntil = Duration.ZERO
 
     /** Its reports arrive until then, but nothing reaches it. */
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -1,5 +1,6 @@
 package umberslip.sim
 
+import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -55,8 +56,10 @@
     private val mischief: Mischief,
     private val size: WorldSize,
     settingsJson: (String) -> String,
+    private val tuning: Tuning = Tuning(),
 ) {
     private val random = Random(seed)
+    private val listRandom = Random(-seed)
     val scheduler = TestCoroutineScheduler()
     private val dispatcher = StandardTestDispatcher(scheduler)
     private val scope = CoroutineScope(dispatcher + SupervisorJob())
@@ -66,6 +69,7 @@
     private val cancelWithin = settings[0].workers.cancel
     private val reportMillis = settings[0].workers.report.inWholeMilliseconds
     private val controllers = arrayOfNulls<Controller>(members.size)
+    private val registries = arrayOfNulls<MeterRegistry>(members.size)
     private val jobsOfControllers = arrayOfNulls<Job>(members.size)
     private val dispatchers = arrayOfNulls<FreezableDispatcher>(members.size)
     private val frozenSince = arrayOfNulls<Duration>(members.size)
@@ -127,6 +131,9 @@
 
     fun now(): Duration = scheduler.currentTime.milliseconds
 
+    /** What the owner's metrics say. */
+    fun ownersMetrics(): MeterRegistry? = owner()?.takeIf { controllers[it] != null }?.let { registries[it] }
+
     private fun broke(what: String) {
         broken += "${now()}: $what"
     }
@@ -152,12 +159,12 @@
             Controller(
                 own,
                 settings[i],
-                Tuning(),
+                tuning,
                 Link(i),
                 CloudLink(i),
                 Clock { now() * drift },
                 { Instant.ofEpochMilli(1_000_000 + scheduler.currentTime) },
-                SimpleMeterRegistry(),
+                SimpleMeterRegistry().also { registries[i] = it },
                 { members.indices.forEach { if (it != i && reaches(i, it)) controllers[it]?.news() } },
                 { reaches(i, members.indexOf(it)) },
                 { peerHealth(i) },
@@ -389,14 +396,16 @@
 
         override suspend fun hosts(): List<ListedHost> =
             call {
-                machines.values.filter { !it.gone && now() - it.bornAt > 4.seconds }.map {
+                // The list is up to twice the lag old, so it may be older than the one before.
+                val asOf = now() - settings[i].listLag * listRandom.nextDouble(0.0, 2.0)
+                machines.values.filter { it.bornAt <= asOf && asOf < it.goneAt }.map {
                     ListedHost(
                         HostName(it.name),
                         it.offer.type,
                         it.offer.zone,
                         it.offer.spot,
                         HostStatus.RUNNING,
-                        now() - it.bornAt,
+                        asOf - it.bornAt,
                     )
                 }
             }
@@ -405,6 +414,7 @@
     // ---- machines ----
 
     fun kill(machine: SimMachine) {
+        if (!machine.gone) machine.goneAt = now()
         machine.gone = true
         empty(machine)
     }
