Toolbox: records saved, shown and compared

Need: after a fall, the next shift wants to know what became of what was started. An archive is JSON Lines in Zstandard with a header, a footer and a checksum, whole or not there; torn, damaged or of another version it is refused with the reason (each byte cut and changed once in a test).

--- /dev/null
+++ b/src/main/kotlin/umberslip/recovery/archive/ArchiveFile.kt
@@ -0,0 +1,153 @@
+package umberslip.recovery.archive
+
+import com.github.luben.zstd.ZstdIOException
+import com.github.luben.zstd.ZstdInputStream
+import com.github.luben.zstd.ZstdOutputStream
+import umberslip.http.Documents
+import umberslip.http.Fields
+import umberslip.http.Malformed
+import umberslip.state.Entry
+import java.io.BufferedReader
+import java.io.BufferedWriter
+import java.io.EOFException
+import java.io.IOException
+import java.io.InputStreamReader
+import java.nio.charset.CharacterCodingException
+import java.nio.charset.StandardCharsets
+import java.nio.file.AtomicMoveNotSupportedException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardCopyOption
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/**
+ * Archives as files: JSON Lines compressed with Zstandard, so that `zstdcat` and `jq` read them, too. The first line is
+ * the header, one line for each record follows, and the last line is a footer with the number of records and the
+ * SHA-256 of all lines before it.
+ */
+object ArchiveFile {
+    private const val LEVEL = 9
+    private const val RECORDS = "records"
+    private const val CHECKSUM = "sha256"
+
+    /** The file is there whole, or not at all: it is written under another name first. */
+    fun write(
+        archive: RecordArchive,
+        file: Path,
+    ) {
+        val unfinished = file.resolveSibling("${file.fileName}.unfinished")
+        try {
+            writeLines(archive, unfinished)
+            moveInPlace(unfinished, file)
+        } finally {
+            Files.deleteIfExists(unfinished)
+        }
+    }
+
+    private fun moveInPlace(
+        from: Path,
+        to: Path,
+    ) {
+        try {
+            Files.move(from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+        } catch (_: AtomicMoveNotSupportedException) {
+            Files.move(from, to, StandardCopyOption.REPLACE_EXISTING)
+        }
+    }
+
+    private fun writeLines(
+        archive: RecordArchive,
+        file: Path,
+    ) {
+        val checksum = Checksum()
+        val compressed = ZstdOutputStream(Files.newOutputStream(file), LEVEL).setChecksum(true)
+        BufferedWriter(compressed.writer(StandardCharsets.UTF_8)).use { out ->
+            fun writeLine(line: Map<String, Any?>) {
+                val text = Documents.writeJson(line)
+                checksum.add(text)
+                out.write(text)
+                out.write("\n")
+            }
+            writeLine(archive.header.toMap())
+            archive.entries.forEach { writeLine(ArchiveLine.of(it)) }
+            val sum = checksum.text()
+            writeLine(mapOf(RECORDS to archive.entries.size, CHECKSUM to sum))
+        }
+    }
+
+    /** All of an archive, checked, or an [ArchiveException]; an [IOException] only where the file cannot be opened. */
+    fun read(file: Path): RecordArchive {
+        val input = Files.newInputStream(file)
+        return try {
+            // A decoder of one's own refuses what is no UTF-8; a charset's replaces it.
+            val text = InputStreamReader(ZstdInputStream(input), StandardCharsets.UTF_8.newDecoder())
+            BufferedReader(text).use(::readLines)
+        } catch (_: EOFException) {
+            throw ArchiveException.Torn("the compressed data ends early")
+        } catch (e: ZstdIOException) {
+            throw decompressionFailed(e)
+        } catch (_: CharacterCodingException) {
+            throw ArchiveException.Corrupt("its text is not UTF-8")
+        }
+    }
+
+    private fun decompressionFailed(e: ZstdIOException): ArchiveException =
+        when {
+            "Truncated" in e.message.orEmpty() -> ArchiveException.Torn("the compressed data ends early")
+            "Unknown frame descriptor" in e.message.orEmpty() -> ArchiveException.NotAnArchive("no Zstandard data")
+            else -> ArchiveException.Corrupt(e.message ?: "it cannot be decompressed")
+        }
+
+    private fun readLines(lines: BufferedReader): RecordArchive {
+        val checksum = Checksum()
+        val first = lines.readLine() ?: throw ArchiveException.Torn("it is empty")
+        val header = parse(first) { ArchiveHeader.parse(it) }
+        checksum.add(first)
+        val entries = ArrayList<Entry>()
+        // A line behind; the last one is the footer.
+        var line = lines.readLine() ?: throw ArchiveException.Torn("it has no footer")
+        while (true) {
+            val next = lines.readLine() ?: break
+            entries += parse(line, ArchiveLine::parse)
+            checksum.add(line)
+            line = next
+        }
+        checkFooter(line, entries.size, checksum)
+        return RecordArchive(header, entries)
+    }
+
+    private fun checkFooter(
+        line: String,
+        records: Int,
+        checksum: Checksum,
+    ) = parse(line) { footer ->
+        if (!footer.has(CHECKSUM)) throw ArchiveException.Torn("its last line is no footer")
+        if (footer.long(RECORDS) != records.toLong()) {
+            throw ArchiveException.Corrupt("it has $records records and should have ${footer.long(RECORDS)}")
+        }
+        if (footer.text(CHECKSUM) != checksum.text()) throw ArchiveException.Corrupt("its checksum differs")
+    }
+
+    private fun <T> parse(
+        line: String,
+        with: (Fields) -> T,
+    ): T =
+        try {
+            with(Fields.of(Documents.readJson(line)))
+        } catch (e: Malformed) {
+            throw ArchiveException.Corrupt("a line cannot be read: ${e.message}")
+        }
+
+    /** SHA-256 of lines, each with its end. */
+    private class Checksum {
+        private val digest = MessageDigest.getInstance("SHA-256")
+
+        fun add(line: String) {
+            digest.update(line.toByteArray())
+            digest.update('\n'.code.toByte())
+        }
+
+        fun text(): String = HexFormat.of().formatHex((digest.clone() as MessageDigest).digest())
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/umberslip/toolbox/Records.kt
@@ -0,0 +1,132 @@
+package umberslip.toolbox
+
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.Spec
+import umberslip.cli.StateServiceReader
+import umberslip.cli.WithSettings
+import umberslip.http.NoAnswer
+import umberslip.http.Unavailable
+import umberslip.records.RecordPages
+import umberslip.recovery.RecordedWork
+import umberslip.recovery.archive.ArchiveFile
+import umberslip.recovery.archive.ArchiveHeader
+import umberslip.recovery.archive.RecordArchive
+import umberslip.recovery.archive.RecordComparison
+import umberslip.settings.Settings
+import java.io.IOException
+import java.nio.file.Path
+import java.time.Instant
+import java.util.concurrent.Callable
+
+/** Keeps what the state service says at one moment, and compares two such moments. Reads only from the service. */
+@Command(
+    name = "records",
+    mixinStandardHelpOptions = true,
+    description = ["Save, show and compare the records in the state service."],
+    subcommands = [SaveRecords::class, ShowRecords::class, CompareRecords::class],
+)
+class Records : Callable<Int> {
+    @Spec
+    lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        spec.commandLine().usage(spec.commandLine().err)
+        return picocli.CommandLine.ExitCode.USAGE
+    }
+}
+
+@Command(name = "save", mixinStandardHelpOptions = true, description = ["Write all records into an archive."])
+class SaveRecords :
+    WithSettings(),
+    Callable<Int> {
+    @Parameters(paramLabel = "FILE", description = ["the archive to write"])
+    lateinit var file: Path
+
+    @Spec
+    lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        val (settings, _) = load()
+        val pages =
+            try {
+                StateServiceReader.read(settings) { RecordPages.read(it) }
+            } catch (e: Unavailable) {
+                throw IOException("the records cannot be read: ${e.message}", e)
+            } catch (e: NoAnswer) {
+                throw IOException("the records cannot be read: ${e.message}", e)
+            }
+        ArchiveFile.write(RecordArchive(ArchiveHeader(Instant.now(), pages.revision), pages.entries), file)
+        spec.commandLine().out.run {
+            println("$file: ${pages.entries.size} records at revision ${pages.revision}")
+            flush()
+        }
+        return 0
+    }
+}
+
+@Command(name = "show", mixinStandardHelpOptions = true, description = ["Say what a new owner would take over."])
+class ShowRecords :
+    WithSettings(),
+    Callable<Int> {
+    @Parameters(paramLabel = "FILE", description = ["an archive"])
+    lateinit var file: Path
+
+    @Spec
+    lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        val (settings, _) = load()
+        val archive = ArchiveFile.read(file)
+        val work = RecordedWork.of(archive.replica(), settings)
+        spec.commandLine().out.run {
+            println("$file: taken ${archive.header.taken} at revision ${archive.header.revision}")
+            work.toText().forEach(::println)
+            flush()
+        }
+        return 0
+    }
+}
+
+@Command(
+    name = "compare",
+    mixinStandardHelpOptions = true,
+    description = ["Say what became of the work between two archives."],
+)
+class CompareRecords :
+    WithSettings(),
+    Callable<Int> {
+    @Parameters(index = "0", paramLabel = "BEFORE", description = ["the earlier archive"])
+    lateinit var before: Path
+
+    @Parameters(index = "1", paramLabel = "AFTER", description = ["the later archive"])
+    lateinit var after: Path
+
+    @Option(names = ["--json"], description = ["print JSON"])
+    var json: Boolean = false
+
+    @Spec
+    lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        val (settings, _) = load()
+        val comparison = RecordComparison(work(before, settings), work(after, settings))
+        spec.commandLine().out.run {
+            println(if (json) comparison.toJson() else comparison.toText())
+            flush()
+        }
+        return if (comparison.lostProgress.isEmpty()) 0 else LOST_PROGRESS
+    }
+
+    private fun work(
+        file: Path,
+        settings: Settings,
+    ) = RecordedWork.of(ArchiveFile.read(file).replica(), settings)
+
+    private companion object {
+        /** Exit code where the later archive knows of fewer tasks done. */
+        const val LOST_PROGRESS = 3
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/recovery/archive/RecordArchiveTest.kt
@@ -0,0 +1,189 @@
+package umberslip.recovery.archive
+
+import com.github.luben.zstd.Zstd
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
+import org.junit.jupiter.api.io.TempDir
+import umberslip.agents.Cause
+import umberslip.agents.Order
+import umberslip.dispatch.TestScheduler
+import umberslip.settings.Settings
+import umberslip.sim.Samples
+import umberslip.state.Entry
+import umberslip.state.Version
+import umberslip.toolbox.Toolbox
+import java.io.PrintWriter
+import java.io.StringWriter
+import java.nio.file.Files
+import java.nio.file.Path
+import java.time.Instant
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+/** An archive is read whole and as it was written, or refused with the reason. */
+class RecordArchiveTest {
+    @TempDir
+    lateinit var directory: Path
+
+    private fun value(
+        random: Random,
+        depth: Int,
+    ): Any? =
+        when (random.nextInt(if (depth > 0) 7 else 5)) {
+            0 -> null
+            1 -> random.nextBoolean()
+            2 -> random.nextLong()
+            3 -> random.nextInt(1000) / 8.0 + 0.125
+            4 -> List(random.nextInt(12)) { "aé\"\\\n\u0001žś€ "[random.nextInt(10)] }.joinToString("")
+            5 -> List(random.nextInt(4)) { value(random, depth - 1) }
+            else -> List(random.nextInt(4)) { "f$it" to value(random, depth - 1) }.toMap()
+        }
+
+    private fun archive(random: Random) =
+        RecordArchive(
+            ArchiveHeader(Instant.ofEpochMilli(random.nextLong(0, 2_000_000_000_000)), random.nextLong(0, 1 shl 30)),
+            List(random.nextInt(30)) { Entry("u/x/$it", value(random, 3), Version(random.nextLong(1, 1 shl 30))) },
+        )
+
+    @Test
+    fun `what is written is read`() {
+        for (seed in 1..150) {
+            val archive = archive(Random(seed))
+            val file = directory.resolve("records.zst")
+            ArchiveFile.write(archive, file)
+            assertEquals(archive, ArchiveFile.read(file), "seed $seed")
+        }
+        assertEquals(listOf("records.zst"), Files.list(directory).use { all -> all.map { "${it.fileName}" }.toList() })
+    }
+
+    @Test
+    fun `a file that ends early anywhere is refused`() {
+        val file = directory.resolve("records.zst")
+        ArchiveFile.write(archive(Random(7)), file)
+        val bytes = Files.readAllBytes(file)
+        for (length in bytes.indices) {
+            Files.write(file, bytes.copyOf(length))
+            assertThrows<ArchiveException>("cut to $length of ${bytes.size} bytes") { ArchiveFile.read(file) }
+        }
+    }
+
+    @Test
+    fun `a file with a changed byte anywhere is refused`() {
+        val file = directory.resolve("records.zst")
+        ArchiveFile.write(archive(Random(8)), file)
+        val bytes = Files.readAllBytes(file)
+        val random = Random(8)
+        for (at in bytes.indices) {
+            val changed = bytes.clone()
+            changed[at] = (changed[at].toInt() xor (1 shl random.nextInt(8))).toByte()
+            Files.write(file, changed)
+            // A few bits of the frame's header change how it is stored, not what it says.
+            val read =
+                try {
+                    ArchiveFile.read(file)
+                } catch (_: ArchiveException) {
+                    null
+                }
+            assertTrue(read == null || read == archive(Random(8)), "byte $at")
+        }
+    }
+
+    /** Compressed anew, so that only the archive's own checks are left to find it. */
+    @Test
+    fun `changed, missing and repeated lines are refused, and so are other versions`() {
+        val file = directory.resolve("records.zst")
+        val archive = archive(Random(9)).copy(entries = List(5) { Entry("u/x/$it", mapOf("a" to 1L), Version(1)) })
+        ArchiveFile.write(archive, file)
+        val lines =
+            Zstd
+                .decompress(Files.readAllBytes(file), 1 shl 20)
+                .decodeToString()
+                .trim()
+                .lines()
+
+        fun refusal(changed: List<String>): ArchiveException {
+            Files.write(file, Zstd.compress(changed.joinToString("\n", postfix = "\n").toByteArray()))
+            return assertThrows<ArchiveException> { ArchiveFile.read(file) }
+        }
+        assertTrue(refusal(lines.map { it.replace("\"a\":1", "\"a\":2") }) is ArchiveException.Corrupt)
+        assertTrue(refusal(lines.filterIndexed { i, _ -> i != 3 }) is ArchiveException.Corrupt)
+        assertTrue(refusal(lines.take(3) + lines[2] + lines.drop(3)) is ArchiveException.Corrupt)
+        assertTrue(refusal(lines.dropLast(1)) is ArchiveException.Torn)
+        val later = lines[0].replace("\"version\":1", "\"version\":2")
+        assertTrue(refusal(listOf(later) + lines.drop(1)) is ArchiveException.UnsupportedVersion)
+        assertTrue(refusal(lines.drop(1)) is ArchiveException.NotAnArchive)
+        Files.writeString(file, "{}")
+        assertTrue(assertThrows<ArchiveException> { ArchiveFile.read(file) } is ArchiveException.NotAnArchive)
+    }
+
+    @Test
+    fun `a comparison tells what ran on, began again, ended or waits`() {
+        val scheduler = TestScheduler()
+        val jobs = List(3) { scheduler.job { it.copy(tasks = 2, cpus = 2.0) } }
+        for (host in listOf("m1", "m2", "m3")) {
+            scheduler.report(host)
+            scheduler.deal(host)
+            // Until then, new work waits for a machine that has its image.
+            scheduler.now += 2.seconds
+        }
+        scheduler.write()
+        val before = scheduler.recorded()
+        assertEquals(6, before.starts.size)
+        // m2 is lost and its tasks go elsewhere; on m3 one job's task ends.
+        val onM2 =
+            scheduler
+                .machine("m2")
+                .assignments.keys
+                .toSet()
+        val ended = scheduler.orders("m3").filterIsInstance<Order.Start>().first()
+        val kept =
+            scheduler
+                .machine("m3")
+                .assignments.values
+                .filter { it.id != ended.task }
+        scheduler.scheduler.forget(scheduler.machine("m2"), scheduler.now)
+        scheduler.report(
+            "m3",
+            TestScheduler.ended(ended.task, ended.attempt, Cause.DONE),
+            *kept.map { TestScheduler.running(it.id, it.attempt) }.toTypedArray(),
+        )
+        scheduler.now += 5.seconds
+        scheduler.report("m4", type = "large")
+        scheduler.deal("m4")
+        scheduler.write()
+        val comparison = RecordComparison(before, scheduler.recorded())
+        for (task in onM2) assertEquals(TaskChange.STARTED_AGAIN, comparison.tasks[task], "$task")
+        assertEquals(TaskChange.NOT_PLACED, comparison.tasks[ended.task])
+        assertEquals(6 - onM2.size - 1, comparison.count(TaskChange.RAN_ON))
+        assertEquals(emptySet<Any>(), comparison.lostProgress)
+        assertFalse(comparison.emptiedMachines.none { it.value == "m2" })
+        val reversed = RecordComparison(scheduler.recorded(), before)
+        assertEquals(setOf(ended.task.job), reversed.lostProgress)
+        assertTrue("LOST PROGRESS: ${ended.task.job.value}" in reversed.toText())
+        assertEquals(3, jobs.size)
+    }
+
+    @Test
+    fun `the command tells a damaged file in one line`() {
+        val settings = directory.resolve("settings.json")
+        Files.writeString(settings, Samples.settingsJson("c-0"))
+        Settings.parse(Files.readString(settings))
+        val file = directory.resolve("records.zst")
+        ArchiveFile.write(archive(Random(3)), file)
+        assertEquals(0, run("records", "show", "--config", "$settings", "$file").first)
+        Files.write(file, Files.readAllBytes(file).copyOf(40))
+        val (exitCode, error) = run("records", "show", "--config", "$settings", "$file")
+        assertEquals(1, exitCode)
+        assertEquals(1, error.trim().lines().size, error)
+        assertTrue(error.startsWith("umberslip-toolbox: the archive is"), error)
+    }
+
+    private fun run(vararg arguments: String): Pair<Int, String> {
+        val error = StringWriter()
+        val line = Toolbox.commandLine().setOut(PrintWriter(StringWriter())).setErr(PrintWriter(error))
+        return line.execute(*arguments) to error.toString()
+    }
+}
