--- /dev/null
+++ b/src/test/kotlin/umberslip/loopback/LoopbackCloud.kt
@@ -0,0 +1,110 @@
+package umberslip.loopback
+
+import umberslip.cloud.HostName
+import umberslip.cloud.Offer
+import umberslip.http.Fields
+import umberslip.sim.WorldSize
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+import kotlin.time.TimeSource
+
+/** The cloud's published protocol over real sockets; its list lags, and machines may vanish from it. */
+class LoopbackCloud(
+    private val capacity: Int,
+    private val listLag: Duration,
+    private val boot: (HostName, Offer) -> Unit,
+    private val halt: (HostName) -> Unit,
+) : AutoCloseable {
+    private class Rented(
+        val name: HostName,
+        val offer: Offer,
+        val since: Duration,
+    ) {
+        var goneAt: Duration? = null
+    }
+
+    private val origin = TimeSource.Monotonic.markNow()
+    private val rented = LinkedHashMap<HostName, Rented>()
+    private val answered = HashMap<String, List<String>>()
+    private val server = CborServer { synchronized(this) { answer(it) } }
+
+    val address get() = server.address
+
+    /** When each machine was rented, since the start. */
+    fun rentals(): List<Duration> = synchronized(this) { rented.values.map { it.since } }
+
+    fun now(): Duration = origin.elapsedNow()
+
+    /** Takes machines back with no notice. */
+    fun takeBack(hosts: Collection<HostName>) = synchronized(this) { hosts.forEach(::end) }
+
+    private fun end(host: HostName) {
+        val machine = rented[host] ?: return
+        if (machine.goneAt != null) return
+        machine.goneAt = now()
+        halt(host)
+    }
+
+    private fun answer(request: CborRequest): CborAnswer =
+        when {
+            request.path == "/flavors" -> CborAnswer(200, mapOf("hosttypes" to WorldSize.SMALL.map(::flavor)))
+            request.path == "/rentals" && request.method == "GET" -> list()
+            request.path == "/rentals" -> rent(request.fields())
+            request.path == "/rentals/release" -> {
+                request
+                    .fields()
+                    .textsOrNull("hosts")
+                    .orEmpty()
+                    .forEach { end(HostName(it)) }
+                CborAnswer(200, emptyMap<String, Any?>())
+            }
+            else -> CborAnswer(404, mapOf("error" to "no such path"))
+        }
+
+    private fun flavor(it: umberslip.cloud.Flavor) =
+        mapOf(
+            "label" to it.label,
+            "vcpus" to it.cpus,
+            "memory_gb" to it.memoryGb,
+            "pull_gb_per_s" to it.fetchGbPerSecond,
+            "rate" to it.price,
+            "market_price" to it.spotPrice,
+            "boot_s" to it.boot.toDouble(DurationUnit.SECONDS),
+            "halls" to it.zones,
+        )
+
+    private fun rent(fields: Fields): CborAnswer {
+        val request = fields.text("hire")
+        answered[request]?.let { return CborAnswer(200, mapOf("hosts" to it)) }
+        val offer = Offer(fields.text("hosttype"), fields.text("hall"), fields.flag("reclaimable"))
+        val room = capacity - rented.values.count { it.goneAt == null }
+        val number = minOf(fields.long("number").toInt(), room)
+        if (number <= 0) return CborAnswer(503, mapOf("error" to "no capacity"))
+        val names = List(number) { HostName("host-%06d".format(rented.size + it)) }
+        for (name in names) {
+            rented[name] = Rented(name, offer, now())
+            boot(name, offer)
+        }
+        return CborAnswer(200, mapOf("hosts" to names.map { it.value }.also { answered[request] = it }))
+    }
+
+    private fun list(): CborAnswer {
+        val asOf = now() - listLag
+        val listed = rented.values.filter { it.since <= asOf && it.goneAt.let { gone -> gone == null || gone > asOf } }
+        val hosts =
+            listed.map {
+                mapOf(
+                    "uid" to it.name.value,
+                    "endpoint" to "127.0.0.1:1",
+                    "hosttype" to it.offer.type,
+                    "hall" to it.offer.zone,
+                    "reclaimable" to it.offer.spot,
+                    "status" to "running",
+                    "age_s" to (asOf - it.since).toDouble(DurationUnit.SECONDS),
+                )
+            }
+        return CborAnswer(200, mapOf("hosts" to hosts, "has_next" to false))
+    }
+
+    override fun close() = server.close()
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/loopback/LoopbackStateService.kt
@@ -0,0 +1,117 @@
+package umberslip.loopback
+
+import umberslip.http.Fields
+import umberslip.sim.StoredState
+import umberslip.sim.WorldSize
+import umberslip.state.Change
+import umberslip.state.Entry
+import umberslip.state.Guard
+import umberslip.state.Lease
+import umberslip.state.TxnResult
+import umberslip.state.Version
+import umberslip.state.Write
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** The state service's published protocol over real sockets; what it keeps outlives all controllers. */
+class LoopbackStateService : AutoCloseable {
+    private val origin = TimeSource.Monotonic.markNow()
+    private val stored = StoredState(WorldSize(0, pageItems = 500, changesKept = 10_000)) { origin.elapsedNow() }
+    private val server = CborServer(::answer)
+
+    val address get() = server.address
+
+    private fun answer(request: CborRequest): CborAnswer {
+        stored.expire()
+        val path = request.path
+        return when {
+            path == "/txn" -> commit(request.fields())
+            path == "/keys" -> list(request.query)
+            path.startsWith(KEYS) -> get(path.removePrefix(KEYS))
+            path == "/changes" -> changes(request.query)
+            path == "/holds" -> openLease(request.fields())
+            path.startsWith(HOLDS) -> lease(request)
+            else -> CborAnswer(404, mapOf("error" to "no such path"))
+        }
+    }
+
+    private fun get(key: String): CborAnswer {
+        val entry = stored.get(key) ?: return CborAnswer(404, mapOf("epoch" to 0))
+        return CborAnswer(200, entry(entry))
+    }
+
+    private fun entry(it: Entry) = mapOf("path" to it.key, "data" to it.data, "stamp" to it.version.value)
+
+    private fun list(query: Map<String, String>): CborAnswer {
+        val page = stored.list(query.getValue("under"), query["after"])
+        return CborAnswer(
+            200,
+            mapOf("entries" to page.entries.map(::entry), "has_next" to page.more, "epoch" to page.revision),
+        )
+    }
+
+    private fun changes(query: Map<String, String>): CborAnswer {
+        val changes =
+            stored.changes(query.getValue("under"), query.getValue("after").toLong())
+                ?: return CborAnswer(410, mapOf("error" to "too old"))
+        val events =
+            changes.changes.map {
+                when (it) {
+                    is Change.Put -> mapOf("set" to it.key, "data" to it.data, "stamp" to it.version.value)
+                    is Change.Drop -> mapOf("drop" to it.key, "stamp" to it.version.value)
+                }
+            }
+        return CborAnswer(200, mapOf("epoch" to changes.revision, "events" to events))
+    }
+
+    private fun commit(fields: Fields): CborAnswer {
+        val guards = fields.maps("guards").map { Guard(it.text("path"), Version(it.long("stamp"))) }
+        val writes =
+            fields.maps("writes").map {
+                val key = it.textOrNull("set")
+                if (key == null) {
+                    Write.Drop(it.text("drop"))
+                } else {
+                    val lease = if (it.has("hold")) Lease(it.long("hold")) else null
+                    val data =
+                        it
+                            .map("data")
+                            .raw()
+                            .entries
+                            .associate { (name, value) -> "$name" to value }
+                    Write.Put(key, data, lease)
+                }
+            }
+        return when (val result = stored.txn(guards, writes)) {
+            is TxnResult.Applied -> CborAnswer(200, mapOf("epoch" to result.version.value))
+            is TxnResult.Refused -> CborAnswer(409, mapOf("failed" to result.failed, "epoch" to 0))
+            TxnResult.NoLease -> CborAnswer(400, mapOf("error" to "no such lease"))
+            is TxnResult.Rejected -> CborAnswer(400, mapOf("error" to result.why))
+        }
+    }
+
+    private fun openLease(fields: Fields): CborAnswer {
+        val lease = stored.open(fields.long("ttl_ms").milliseconds)
+        return CborAnswer(200, mapOf("hold" to lease.id))
+    }
+
+    private fun lease(request: CborRequest): CborAnswer {
+        val id =
+            request.path
+                .removePrefix(HOLDS)
+                .substringBefore('/')
+                .toLong()
+        if (request.method == "DELETE") {
+            stored.end(id)
+            return CborAnswer(200, emptyMap<String, Any?>())
+        }
+        return CborAnswer(if (stored.renew(Lease(id))) 200 else 404, emptyMap<String, Any?>())
+    }
+
+    override fun close() = server.close()
+
+    private companion object {
+        const val KEYS = "/keys/"
+        const val HOLDS = "/holds/"
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/loopback/LoopbackWorkers.kt
@@ -0,0 +1,250 @@
+package umberslip.loopback
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import umberslip.cloud.HostName
+import umberslip.cloud.Offer
+import umberslip.http.Fields
+import umberslip.http.HttpClient
+import umberslip.http.NoAnswer
+import umberslip.http.Reply
+import umberslip.http.Unavailable
+import umberslip.records.JobSpec
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** What all workers were told and did, in order of time. */
+sealed interface WorkerEvent {
+    val at: Duration
+
+    data class Ordered(
+        override val at: Duration,
+        val verb: String,
+        val task: String,
+    ) : WorkerEvent
+
+    data class Began(
+        override val at: Duration,
+        val task: String,
+        val machinesAtOnce: Int,
+        /** Its end had been recorded before. */
+        val wasFinished: Boolean,
+    ) : WorkerEvent
+
+    /** Its lease ran out, and its tasks were killed. */
+    data class LeaseOver(
+        override val at: Duration,
+        val tasks: Int,
+    ) : WorkerEvent
+}
+
+/** Workers that outlive the controllers; all of them in this process, each with its own sessions and leases. */
+class LoopbackWorkers(
+    private val controllers: List<InetSocketAddress>,
+    private val reportEvery: Duration,
+    private val lease: Duration,
+) : AutoCloseable {
+    private class Task(
+        val attempt: Long,
+        val endsAt: Duration,
+    ) {
+        var status = "running"
+    }
+
+    private class Worker(
+        val name: HostName,
+        val offer: Offer,
+    ) {
+        var session = 1L
+        var counter = 0L
+        var token = 0L
+        var lastAnswered = Duration.ZERO
+        var target = 0
+        var silentUntil = Duration.ZERO
+        var gone = false
+        val tasks = LinkedHashMap<String, Task>()
+    }
+
+    private val origin = TimeSource.Monotonic.markNow()
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val thread = group.next().asCoroutineDispatcher()
+    private val scope = CoroutineScope(thread + SupervisorJob())
+    private val clients = controllers.map { HttpClient(group, it, MAX_BODY) }
+    private val workers = LinkedHashMap<HostName, Worker>()
+    private val events = ArrayList<WorkerEvent>()
+
+    /** Tasks whose end some controller has recorded, since it had the worker clear them. */
+    private val recordedEnds = HashSet<String>()
+    private val specs = ConcurrentHashMap<String, JobSpec>()
+
+    fun now(): Duration = origin.elapsedNow()
+
+    fun upload(spec: JobSpec) {
+        specs[spec.id.value] = spec
+    }
+
+    private fun <T> look(what: () -> T): T = runBlocking { withContext(thread) { what() } }
+
+    fun events(): List<WorkerEvent> = look { events.toList() }
+
+    fun running(): Int = look { workers.values.sumOf { w -> w.tasks.values.count { it.status == "running" } } }
+
+    /** What runs, or has ended and is not cleared, on these machines. */
+    fun tasksOn(hosts: Collection<HostName>): Set<String> =
+        look {
+            hosts.flatMapTo(HashSet()) { workers[it]?.tasks?.keys.orEmpty() }
+        }
+
+    fun names(): List<HostName> = look { workers.values.filter { !it.gone }.map { it.name } }
+
+    /** They run on, and report nothing for a while. */
+    fun silence(
+        hosts: Collection<HostName>,
+        time: Duration,
+    ) = look { hosts.forEach { workers[it]?.silentUntil = now() + time } }
+
+    fun boot(
+        name: HostName,
+        offer: Offer,
+    ) {
+        scope.launch {
+            delay(BOOT)
+            val worker = Worker(name, offer)
+            worker.lastAnswered = now()
+            workers[name] = worker
+            launch { run(worker) }
+            while (!worker.gone) {
+                if (now() >= worker.silentUntil) report(worker)
+                delay(reportEvery)
+            }
+        }
+    }
+
+    fun halt(name: HostName) {
+        scope.launch {
+            workers[name]?.let {
+                it.gone = true
+                it.tasks.clear()
+            }
+        }
+    }
+
+    private suspend fun run(worker: Worker) {
+        while (!worker.gone) {
+            delay(STEP)
+            worker.tasks.values
+                .filter { it.status == "running" && it.endsAt <= now() }
+                .forEach { it.status = "ended" }
+            if (now() - worker.lastAnswered <= lease) continue
+            events += WorkerEvent.LeaseOver(now(), worker.tasks.size)
+            worker.tasks.clear()
+            worker.session++
+            worker.lastAnswered = now()
+        }
+    }
+
+    private suspend fun report(worker: Worker) {
+        val sent = now()
+        val session = worker.session
+        worker.counter++
+        val reply = post(worker) ?: return moveOn(worker, null)
+        if (reply.status != 200) return moveOn(worker, reply.fields().textOrNull("dispatcher"))
+        if (worker.gone || worker.session != session || now() - sent > DROPPED_AFTER) return
+        val fields = reply.fields()
+        if (fields.long("warrant") < worker.token) return
+        worker.token = fields.long("warrant")
+        worker.lastAnswered = sent
+        fields.maps("orders").forEach { carryOut(worker, it) }
+    }
+
+    private suspend fun post(worker: Worker): Reply? =
+        try {
+            clients[worker.target].call(HttpMethod.POST, "/agent/beat", body(worker), DROPPED_AFTER)
+        } catch (_: Unavailable) {
+            null
+        } catch (_: NoAnswer) {
+            null
+        }
+
+    private fun moveOn(
+        worker: Worker,
+        named: String?,
+    ) {
+        val next = named?.substringAfterLast('-')?.toIntOrNull()
+        worker.target = next ?: ((worker.target + 1) % controllers.size)
+    }
+
+    private fun body(worker: Worker) =
+        mapOf(
+            "host" to worker.name.value,
+            "endpoint" to "127.0.0.1:1",
+            "hosttype" to worker.offer.type,
+            "hall" to worker.offer.zone,
+            "reclaimable" to worker.offer.spot,
+            "shift" to worker.session,
+            "counter" to worker.counter,
+            "warrant" to worker.token,
+            "pieces" to
+                worker.tasks.map { (name, task) ->
+                    val cause = if (task.status == "ended") "done" else null
+                    mapOf("piece" to name, "try" to task.attempt, "status" to task.status, "cause" to cause)
+                },
+        )
+
+    private fun carryOut(
+        worker: Worker,
+        order: Fields,
+    ) {
+        val name = order.text("piece")
+        val attempt = order.long("try")
+        val here = worker.tasks[name]
+        events += WorkerEvent.Ordered(now(), order.text("verb"), name)
+        when (order.text("verb")) {
+            "start" -> if (here == null) begin(worker, name, attempt)
+            "stop" -> if (here?.attempt == attempt) worker.tasks.remove(name)
+            "clear" ->
+                if (here?.attempt == attempt && here.status == "ended") {
+                    worker.tasks.remove(name)
+                    recordedEnds += name
+                }
+        }
+    }
+
+    private fun begin(
+        worker: Worker,
+        name: String,
+        attempt: Long,
+    ) {
+        val spec = specs.getValue(name.substringBeforeLast('/'))
+        worker.tasks[name] = Task(attempt, now() + spec.expectedSeconds.seconds)
+        val machines = workers.values.count { it.tasks[name]?.status == "running" }
+        events += WorkerEvent.Began(now(), name, machines, wasFinished = name in recordedEnds)
+    }
+
+    override fun close() {
+        scope.cancel()
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).sync()
+    }
+
+    private companion object {
+        const val MAX_BODY = 1 shl 20
+        val STEP = 50.milliseconds
+        val BOOT = 300.milliseconds
+
+        /** Answers that come later than that are dropped, as the protocol says. */
+        val DROPPED_AFTER = 4.seconds
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/umberslip/loopback/RestartScene.kt
@@ -0,0 +1,207 @@
+package umberslip.loopback
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.coroutines.runBlocking
+import picocli.CommandLine
+import umberslip.cli.Umberslip
+import umberslip.http.Documents
+import umberslip.http.Fields
+import umberslip.http.HttpClient
+import umberslip.http.NoAnswer
+import umberslip.http.Unavailable
+import umberslip.records.JobSpec
+import umberslip.records.Urgency
+import umberslip.sim.Samples
+import umberslip.toolbox.Toolbox
+import java.io.PrintWriter
+import java.io.StringWriter
+import java.net.InetSocketAddress
+import java.nio.file.Path
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** How large a restart on loopback is, and how long its workers' leases are. */
+class SceneSize(
+    val machines: Int,
+    val jobs: Int,
+    val tasksPerJob: Int,
+    val taskSeconds: Double,
+    val reportEvery: Duration = 500.milliseconds,
+    val lease: Duration = 60.seconds,
+    val listLag: Duration = 1.seconds,
+)
+
+/** What `umberslip recovery --json` printed, and its exit code. */
+class RecoveryAnswer(
+    val exitCode: Int,
+    private val json: Fields,
+) {
+    val status: String get() = json.text("status")
+
+    /** What the owner of the highest term says; null where none answered. */
+    fun owner(): Fields? =
+        json
+            .maps("controllers")
+            .filter { it.has("recovery") }
+            .map { it.map("recovery") }
+            .maxByOrNull { it.long("term") }
+
+    fun finding(name: String): Long = owner()?.map("findings")?.takeIf { it.has(name) }?.long(name) ?: 0
+}
+
+/** Three controllers as processes, and around them workers, cloud and state service that outlive them all. */
+class RestartScene(
+    private val size: SceneSize,
+    directory: Path,
+    arguments: List<String> = emptyList(),
+) : AutoCloseable {
+    private val state = LoopbackStateService()
+    private lateinit var workersHolder: LoopbackWorkers
+    val workers: LoopbackWorkers get() = workersHolder
+    val cloud: LoopbackCloud =
+        LoopbackCloud(size.machines, size.listLag, { host, offer -> workers.boot(host, offer) }, { workers.halt(it) })
+    val controllers = ControllerProcesses(CONTROLLERS, directory, arguments, ::settings)
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val clients = controllers.addresses.map { HttpClient(group, it, 1 shl 20) }
+    val jobs: List<JobSpec> = List(size.jobs, ::job)
+
+    init {
+        workersHolder = LoopbackWorkers(controllers.addresses, size.reportEvery, size.lease)
+        controllers.startAll()
+    }
+
+    private fun job(number: Int): JobSpec =
+        Samples.job(Random(number), number).copy(
+            team = "green",
+            urgency = if (number % 2 == 0) Urgency.NORMAL else Urgency.IDLE,
+            tasks = size.tasksPerJob,
+            cpus = 1.0,
+            memoryGb = 1.0,
+            types = null,
+            zone = null,
+            oneZone = false,
+            spread = false,
+            spot = true,
+            expectedSeconds = size.taskSeconds * (1 + number % 3) / 2,
+            dueSeconds = null,
+        )
+
+    private fun settings(
+        member: Int,
+        bind: List<InetSocketAddress>,
+        peers: List<InetSocketAddress>,
+    ): String {
+        val known =
+            peers.indices.filter { it != member }.joinToString {
+                """{"member":"c-$it","area":"${area(it)}","addr":"${text(peers[it])}"}"""
+            }
+        val seconds = { time: Duration -> time.toDouble(DurationUnit.SECONDS) }
+        return """{"member":"c-$member","area":"${area(member)}","bind":"${text(bind[member])}",
+            "peer_listen":"${text(peers[member])}","known":[$known],
+            "endpoints":{"cloud":"${text(cloud.address)}","state":"${text(state.address)}"},
+            "settings":{"nodes":$CONTROLLERS,"zones":["east","west"],
+            "teams":[{"name":"green","cpus":0.0,"cpus_max":0.0,"gpus":0.0,"gpus_max":0.0}],
+            "objectives":[{"kind":"finished","class":"batch","within_s":60.0,"share":0.9}],
+            "workers":{"report_s":${seconds(size.reportEvery)},"lease_s":${seconds(size.lease)},
+            "gang_wait_s":30.0,"gang_peer_s":4.0,"cancel_s":${seconds(size.lease + 20.seconds)}},
+            "state":{"rps":500.0,"write_rps":200.0,"value_kb":8.0,"txn_ops":24},
+            "cloud":{"rps":10.0,"list_lag_s":${seconds(size.listLag)}},
+            "quota":{"cpu":0.25,"ram_mb":200.0,"sockets":2000},"skew_ms":25.0}}"""
+    }
+
+    private fun text(address: InetSocketAddress) = "${address.hostString}:${address.port}"
+
+    private fun area(member: Int) = if (member % 2 == 0) "east" else "west"
+
+    /** Submits every job, to any controller that takes it. */
+    fun submitAll() {
+        for (spec in jobs) {
+            workers.upload(spec)
+            awaitUntil("job ${spec.id.value} accepted") {
+                ask(HttpMethod.POST, "/api/jobs", spec.toMap())?.first in setOf(200, 201)
+            }
+        }
+    }
+
+    /** The recovery as an operator reads it who names every controller. */
+    fun recovery(): RecoveryAnswer {
+        val out = StringWriter()
+        val addresses = controllers.addresses.flatMap { listOf("--controller", text(it)) }
+        val arguments = listOf("recovery", "--json", "--config", controllers.settingsFile(0).toString()) + addresses
+        val exitCode = CommandLine(Umberslip()).setOut(PrintWriter(out)).execute(*arguments.toTypedArray())
+        return RecoveryAnswer(exitCode, Fields.of(Documents.readJson(out.toString())))
+    }
+
+    /** Saves the records into an archive, as an operator does. */
+    fun saveRecords(file: Path) {
+        val arguments = listOf("records", "save", "--config", controllers.settingsFile(0).toString(), file.toString())
+        check(Toolbox.commandLine().execute(*arguments.toTypedArray()) == 0) { "the records were not saved" }
+    }
+
+    /** What became of the work between two archives. */
+    fun compareRecords(
+        before: Path,
+        after: Path,
+    ): Fields {
+        val out = StringWriter()
+        val settings = controllers.settingsFile(0).toString()
+        Toolbox
+            .commandLine()
+            .setOut(PrintWriter(out))
+            .execute("records", "compare", "--json", "--config", settings, "$before", "$after")
+        return Fields.of(Documents.readJson(out.toString()))
+    }
+
+    /** What a job's user is told; null while nobody answers. */
+    fun status(spec: JobSpec): String? =
+        ask(HttpMethod.GET, "/api/jobs/${spec.id.value}", null)?.let { (status, body) ->
+            if (status == 200) (body as Map<*, *>)["status"] as String else null
+        }
+
+    private fun ask(
+        method: HttpMethod,
+        path: String,
+        body: Any?,
+    ): Pair<Int, Any?>? =
+        clients.firstNotNullOfOrNull { client ->
+            try {
+                runBlocking { client.call(method, path, body, 5.seconds) }.let { it.status to it.body }
+            } catch (_: Unavailable) {
+                null
+            } catch (_: NoAnswer) {
+                null
+            }?.takeIf { it.first < SERVER_ERRORS }
+        }
+
+    /** Waits for an event, with a bound far beyond what it takes: speed decides nothing. */
+    fun awaitUntil(
+        what: String,
+        holds: () -> Boolean,
+    ) {
+        val deadline = workers.now() + BOUND
+        while (!holds()) {
+            check(workers.now() < deadline) { "not within $BOUND: $what\n${controllers.logs()}" }
+            Thread.sleep(POLL_MILLIS)
+        }
+    }
+
+    override fun close() {
+        controllers.close()
+        workers.close()
+        cloud.close()
+        state.close()
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).sync()
+    }
+
+    companion object {
+        const val CONTROLLERS = 3
+        private const val SERVER_ERRORS = 500
+        private const val POLL_MILLIS = 50L
+        private val BOUND = 180.seconds
+    }
+}
