The earlier scenes also with the recovery switched on; one sample job for all that runs anywhere

Need: chained jobs, falling limits, upgrades, 4,000 machines had no run with the switch. Half of the meetings have it on two of three controllers, FleetSizeTest on all; both pass. The setup of a job that fits anywhere stood three times.

--- a/src/test/kotlin/umberslip/dispatch/TestScheduler.kt
+++ b/src/test/kotlin/umberslip/dispatch/TestScheduler.kt
@@ -55,16 +55,8 @@
         val number = ++made
         val spec =
             change(
-                Samples.job(Random(1), number).copy(
-                    team = "green",
+                Samples.unboundJob(Random(1), number).copy(
                     tasks = 3,
-                    cpus = 1.0,
-                    memoryGb = 1.0,
-                    types = null,
-                    zone = null,
-                    oneZone = false,
-                    spread = false,
-                    spot = true,
                     expectedSeconds = 10.0,
                     dueSeconds = 60.0,
                 ),
--- a/src/test/kotlin/umberslip/loopback/RestartMeasurement.kt
+++ b/src/test/kotlin/umberslip/loopback/RestartMeasurement.kt
@@ -1,5 +1,7 @@
 package umberslip.loopback
 
+import umberslip.http.Documents
+import umberslip.recovery.archive.ArchiveFile
 import java.nio.file.Files
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -40,6 +42,7 @@
     RestartScene(plan.size, Files.createTempDirectory("restart"), plan.options).use { scene ->
         scene.submitAll()
         scene.awaitUntil("nearly all tasks run") { scene.workers.running() >= plan.jobs * plan.tasksPerJob * 95 / 100 }
+        reportSizes(scene)
         val names = scene.workers.names().shuffled(Random(1))
         scene.controllers.killAll()
         val running = scene.workers.running()
@@ -57,6 +60,20 @@
     }
 }
 
+/** What the records take as they are kept, and compressed as a checkpoint might be. */
+private fun reportSizes(scene: RestartScene) {
+    val file = Files.createTempFile("records", ".zst")
+    scene.saveRecords(file)
+    val entries = ArchiveFile.read(file).entries
+
+    fun bytes(prefix: String): Int =
+        entries
+            .filter { it.key.startsWith(prefix) }
+            .sumOf { Documents.jsonSize(it.data) }
+    println("records: ${entries.size}, jobs ${bytes("u/job/")} bytes, log ${bytes("u/log/")} bytes")
+    println("  all of them compressed: ${Files.size(file)} bytes")
+}
+
 private fun report(
     events: List<WorkerEvent>,
     back: Duration,
--- a/src/test/kotlin/umberslip/loopback/RestartScene.kt
+++ b/src/test/kotlin/umberslip/loopback/RestartScene.kt
@@ -61,8 +61,10 @@
     arguments: List<String> = emptyList(),
 ) : AutoCloseable {
     private val state = LoopbackStateService()
-    private lateinit var workersHolder: LoopbackWorkers
-    val workers: LoopbackWorkers get() = workersHolder
+
+    /** Set last: workers need the controllers' addresses, and the cloud boots workers only once it is asked to. */
+    lateinit var workers: LoopbackWorkers
+        private set
     val cloud: LoopbackCloud =
         LoopbackCloud(size.machines, size.listLag, { host, offer -> workers.boot(host, offer) }, { workers.halt(it) })
     val controllers = ControllerProcesses(CONTROLLERS, directory, arguments, ::settings)
@@ -71,22 +73,14 @@
     val jobs: List<JobSpec> = List(size.jobs, ::job)
 
     init {
-        workersHolder = LoopbackWorkers(controllers.addresses, size.reportEvery, size.lease)
+        workers = LoopbackWorkers(controllers.addresses, size.reportEvery, size.lease)
         controllers.startAll()
     }
 
     private fun job(number: Int): JobSpec =
-        Samples.job(Random(number), number).copy(
-            team = "green",
+        Samples.unboundJob(Random(number), number).copy(
             urgency = if (number % 2 == 0) Urgency.NORMAL else Urgency.IDLE,
             tasks = size.tasksPerJob,
-            cpus = 1.0,
-            memoryGb = 1.0,
-            types = null,
-            zone = null,
-            oneZone = false,
-            spread = false,
-            spot = true,
             expectedSeconds = size.taskSeconds * (1 + number % 3) / 2,
             dueSeconds = null,
         )
--- a/src/test/kotlin/umberslip/recovery/GeneratedRestartsTest.kt
+++ b/src/test/kotlin/umberslip/recovery/GeneratedRestartsTest.kt
@@ -30,7 +30,7 @@
                 Mischief(lossy = 0.005, late = 0.005, copied = 0.05),
                 WorldSize(5),
                 Samples::settingsJson,
-                Tuning(recovery = RecoveryTuning(track = true, returnMissing = true)),
+                { Tuning(recovery = RecoveryTuning(track = true, returnMissing = true)) },
             )
         private var number = 0
 
--- a/src/test/kotlin/umberslip/recovery/LossInTheDarkTest.kt
+++ b/src/test/kotlin/umberslip/recovery/LossInTheDarkTest.kt
@@ -42,7 +42,7 @@
         returnMissing: Boolean,
     ): Outcome {
         val tuning = Tuning(recovery = RecoveryTuning(track = true, returnMissing = returnMissing))
-        val world = World(seed, Mischief(0.0, 0.0), WorldSize(20), Samples::settingsJson, tuning)
+        val world = World(seed, Mischief(0.0, 0.0), WorldSize(20), Samples::settingsJson, { tuning })
         for (i in 0..2) world.startController(i)
         val random = Random(seed)
         repeat(12) { world.user(longJob(random, it), null) }
@@ -72,18 +72,7 @@
     private fun longJob(
         random: Random,
         number: Int,
-    ) = Samples.job(random, number).copy(
-        team = "green",
-        tasks = 12,
-        cpus = 1.0,
-        memoryGb = 0.5,
-        types = null,
-        zone = null,
-        oneZone = false,
-        spread = false,
-        spot = true,
-        expectedSeconds = 120.0,
-    )
+    ) = Samples.unboundJob(random, number).copy(tasks = 12, expectedSeconds = 120.0)
 
     /** Null while nobody owns, or its term is not the one after the fall. */
     private fun gauge(
--- a/src/test/kotlin/umberslip/sim/FleetSizeTest.kt
+++ b/src/test/kotlin/umberslip/sim/FleetSizeTest.kt
@@ -5,6 +5,8 @@
 import org.junit.jupiter.api.Test
 import umberslip.cloud.Flavor
 import umberslip.records.JobSpec
+import umberslip.settings.RecoveryTuning
+import umberslip.settings.Tuning
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -33,6 +35,7 @@
                 Mischief(0.0, 0.0),
                 size,
                 { Samples.largeFleetJson(it).replace(""""sockets":200""", """"sockets":5000""") },
+                { RECOVERY },
             )
         repeat(size.members) { world.startController(it) }
         val random = Random(9)
@@ -73,7 +76,7 @@
         job: (Random, Int) -> JobSpec,
     ) {
         val random = Random(seed)
-        val world = World(seed, Mischief(lossy = 0.002, late = 0.002, copied = 0.02), size, settings)
+        val world = World(seed, Mischief(lossy = 0.002, late = 0.002, copied = 0.02), size, settings, { RECOVERY })
         repeat(size.members) { world.startController(it) }
         var number = 0
         var owed = 60.0
@@ -123,4 +126,8 @@
             76 -> world.startController(1)
         }
     }
+
+    private companion object {
+        val RECOVERY = Tuning(recovery = RecoveryTuning(track = true, returnMissing = true))
+    }
 }
--- a/src/test/kotlin/umberslip/sim/MeetingsTest.kt
+++ b/src/test/kotlin/umberslip/sim/MeetingsTest.kt
@@ -5,6 +5,8 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import umberslip.records.JobSpec
+import umberslip.settings.RecoveryTuning
+import umberslip.settings.Tuning
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -458,7 +460,7 @@
         seed: Int,
     ) {
         val random = Random(seed * 100 + meeting.ordinal)
-        val world = World(seed, meeting.mischief, WorldSize(5), meeting.json)
+        val world = World(seed, meeting.mischief, WorldSize(5), meeting.json, { recovery(it, seed) })
         for (i in 0..2) world.startController(i)
         var number = 0
         val made = ArrayList<JobSpec>()
@@ -508,6 +510,15 @@
         if (meeting.name.startsWith("GAP")) assertTrue(scene.confirmed > 0, "nothing was cancelled in the gap")
     }
 
+    /** In every other run the recovery is switched on, and not on all controllers. */
+    private fun recovery(
+        controller: Int,
+        seed: Int,
+    ): Tuning {
+        val on = seed % 2 == 0 && controller != 1
+        return Tuning(recovery = RecoveryTuning(track = on, returnMissing = on))
+    }
+
     companion object {
         /** Some jobs have many small tasks, so that their progress outgrows a small value. */
         private val MANY: (JobSpec, Random) -> JobSpec = { job, random ->
--- a/src/test/kotlin/umberslip/sim/Samples.kt
+++ b/src/test/kotlin/umberslip/sim/Samples.kt
@@ -100,6 +100,22 @@
             expectedSeconds = random.nextDouble(10.0, 40.0),
         )
 
+    /** A job of one-processor tasks that may run on any machine. */
+    fun unboundJob(
+        random: Random,
+        number: Int,
+    ): JobSpec =
+        job(random, number).copy(
+            team = "green",
+            cpus = 1.0,
+            memoryGb = 1.0,
+            types = null,
+            zone = null,
+            oneZone = false,
+            spread = false,
+            spot = true,
+        )
+
     fun job(
         random: Random,
         number: Int,
--- a/src/test/kotlin/umberslip/sim/World.kt
+++ b/src/test/kotlin/umberslip/sim/World.kt
@@ -56,7 +56,8 @@
     private val mischief: Mischief,
     private val size: WorldSize,
     settingsJson: (String) -> String,
-    private val tuning: Tuning = Tuning(),
+    /** The operators' settings of each controller. */
+    private val tuning: (Int) -> Tuning = { Tuning() },
 ) {
     private val random = Random(seed)
     private val listRandom = Random(-seed)
@@ -159,7 +160,7 @@
             Controller(
                 own,
                 settings[i],
-                tuning,
+                tuning(i),
                 Link(i),
                 CloudLink(i),
                 Clock { now() * drift },
