Loopback: ports that no connection can take while a controller is down

Cause: a free port from the system's own range may be given to a worker's connection, or the worker may connect to itself, between a controller's end and its return; found on reading, not seen.

--- a/src/test/kotlin/umberslip/loopback/ControllerProcesses.kt
+++ b/src/test/kotlin/umberslip/loopback/ControllerProcesses.kt
@@ -1,6 +1,7 @@
 package umberslip.loopback
 
 import java.io.File
+import java.net.BindException
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.nio.file.Files
@@ -14,8 +15,9 @@
     private val extraArguments: List<String>,
     settings: (member: Int, bind: List<InetSocketAddress>, peers: List<InetSocketAddress>) -> String,
 ) : AutoCloseable {
-    val addresses = List(count) { freeAddress() }
-    private val peers = List(count) { freeAddress() }
+    private val free = freeAddresses(count * 2)
+    val addresses = free.take(count)
+    private val peers = free.drop(count)
     private val configurations =
         List(count) { member ->
             directory.resolve("settings-$member.json").also {
@@ -67,6 +69,24 @@
         const val KILL_SECONDS = 10L
         const val LOG_LINES = 15
 
-        fun freeAddress() = ServerSocket(0).use { InetSocketAddress("127.0.0.1", it.localPort) }
+        /** Below those that the system gives to connections, which could be taken while a controller is down. */
+        val PORTS = 20_000..30_000
+
+        fun freeAddresses(count: Int): List<InetSocketAddress> =
+            PORTS
+                .shuffled()
+                .asSequence()
+                .map { InetSocketAddress("127.0.0.1", it) }
+                .filter(::isFree)
+                .take(count)
+                .toList()
+
+        fun isFree(address: InetSocketAddress): Boolean =
+            try {
+                ServerSocket().use { it.bind(address) }
+                true
+            } catch (_: BindException) {
+                false
+            }
     }
 }
