Tests: a re-election within a call to the cloud ends the provisioner's loop

Fail: ProvisioningRequestsTest 3 of 3 and ReelectionTest 8 of 8, with NoSuchElementException: ArrayDeque is empty, and in the simulated cluster with 0 to 2 of 25 jobs finished.

--- /dev/null
+++ b/src/test/kotlin/umberslip/sim/ReelectionTest.kt
@@ -0,0 +1,54 @@
+package umberslip.sim
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import umberslip.core.Priority
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A controller that steps down and is elected again while calls of its former term are under way.
+ *
+ * A call to the cloud may last for 5 s, longer than the leader's lease of 4 s. The loop of the provisioner ended with
+ * the first such call (see ProvisioningRequestsTest), and jobs that came later waited for machines for ever.
+ */
+class ReelectionTest {
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `machines are provisioned after every re-election within a call to the cloud`(seed: Int) {
+        val random = Random(seed)
+        val cluster =
+            SimulatedCluster(seed, FaultRates(lossy = 0.0, late = 0.5), ClusterSize(5), Fixtures::settingsJson)
+        cluster.startController(0)
+        cluster.run(15.seconds)
+        repeat(8) { round ->
+            repeat(3) { submit(cluster, random, round * 10 + it) }
+            cluster.run(random.nextInt(500, 4000).milliseconds)
+            cluster.cutFromStore(0, 4500.milliseconds)
+            cluster.run(12.seconds)
+        }
+        cluster.endFaults()
+        submit(cluster, random, 999)
+        cluster.run(600.seconds)
+        cluster.end()
+        assertEquals(emptyList<String>(), cluster.violations.take(5))
+        assertEquals(cluster.acceptedJobs, cluster.finishedJobs, cluster.describe())
+    }
+
+    private fun submit(
+        cluster: SimulatedCluster,
+        random: Random,
+        number: Int,
+    ) {
+        val spec =
+            Fixtures.unboundJob(random, number).copy(
+                tasks = 8,
+                cpus = 2.0,
+                priority = Priority.NORMAL,
+                expectedSeconds = 5.0,
+            )
+        cluster.submit(spec, cancelAfter = null)
+    }
+}
