Provisioner goes on after a re-election within a call to the cloud

Symptom: no machine is provisioned any more; cause: a call to the cloud that outlasts its term took its request from a queue that the new term had cleared, and NoSuchElementException ended the loop. Queue, numbers and agreed terminations belong to a term now, and a failed round no longer ends a loop.

--- a/src/main/kotlin/umberslip/daemon/FollowerRenewalPublisher.kt
+++ b/src/main/kotlin/umberslip/daemon/FollowerRenewalPublisher.kt
@@ -3,8 +3,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import umberslip.actor.launchLoop
 import umberslip.agents.FollowerLeaseRenewal
 import umberslip.http.NoResponseException
 import umberslip.http.ServiceUnavailableException
@@ -35,11 +35,9 @@
     private var version: Version? = null
 
     fun start(): Job =
-        scope.launch {
-            while (true) {
-                delay(PUBLISH_INTERVAL)
-                publish()
-            }
+        scope.launchLoop("follower renewals", log) {
+            delay(PUBLISH_INTERVAL)
+            publish()
         }
 
     private suspend fun publish() {
--- a/src/main/kotlin/umberslip/leadership/LeaderElection.kt
+++ b/src/main/kotlin/umberslip/leadership/LeaderElection.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import umberslip.actor.launchLoop
 import umberslip.core.Clock
 import umberslip.core.Term
 import umberslip.http.ServiceException
@@ -45,14 +46,12 @@
 
     /** Takes part in elections until [scope] ends. */
     fun start(): Job =
-        scope.launch {
-            while (true) {
-                try {
-                    if (leaderLease.isLeader) lead() else follow()
-                } catch (e: ServiceException) {
-                    log.debug("leader election waits for the key-value store: reason={}", e.message)
-                    delay(RETRY)
-                }
+        scope.launchLoop("leader election", log) {
+            try {
+                if (leaderLease.isLeader) lead() else follow()
+            } catch (e: ServiceException) {
+                log.debug("leader election waits for the key-value store: reason={}", e.message)
+                delay(RETRY)
             }
         }
 
--- a/src/main/kotlin/umberslip/provisioning/MachineTermination.kt
+++ b/src/main/kotlin/umberslip/provisioning/MachineTermination.kt
@@ -16,12 +16,13 @@
     private val leader: Leader,
     private val log: Logger,
 ) {
-    private val pending = LinkedHashSet<MachineName>()
+    /** Replaced with each term, so that what a former leader state agreed to late is not taken for the new one's. */
+    private var pending = LinkedHashSet<MachineName>()
     private val terminated = HashSet<MachineName>()
 
     /** Begins a leader's term: what is still to be terminated shows again in the cloud's list. */
     fun clear() {
-        pending.clear()
+        pending = LinkedHashSet()
         terminated.clear()
     }
 
@@ -40,7 +41,8 @@
         if (names.isEmpty()) return
         val agreed = CompletableDeferred<List<MachineName>>()
         val request = LeaderMessage.PrepareTermination(names.toSet(), evenIfBusy) { agreed.complete(it) }
-        if (leader.enqueue(request)) pending += agreed.await()
+        val ofTerm = pending
+        if (leader.enqueue(request)) ofTerm += agreed.await()
     }
 
     /** Terminates one batch; the rest and a batch that failed follow with the next call. */
--- a/src/main/kotlin/umberslip/provisioning/Provisioner.kt
+++ b/src/main/kotlin/umberslip/provisioning/Provisioner.kt
@@ -4,8 +4,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import umberslip.actor.launchLoop
 import umberslip.cloud.Cloud
 import umberslip.cloud.InstanceType
 import umberslip.core.Clock
@@ -77,15 +77,13 @@
 
     /** Runs rounds until [scope] ends; a round in which this controller does not lead does nothing. */
     fun start(): Job =
-        scope.launch {
-            while (true) {
-                val began = clock.now()
-                planningTime = Duration.ZERO
-                tryRound()
-                // A plan looks at every machine and task: in a large cluster it is made less often, so that
-                // heartbeats and users have their turn.
-                delay(maxOf(MIN_ROUND, planningTime * PLANNING_SHARE - (clock.now() - began)))
-            }
+        scope.launchLoop("provisioner", log) {
+            val began = clock.now()
+            planningTime = Duration.ZERO
+            tryRound()
+            // A plan looks at every machine and task: in a large cluster it is made less often, so that
+            // heartbeats and users have their turn.
+            delay(maxOf(MIN_ROUND, planningTime * PLANNING_SHARE - (clock.now() - began)))
         }
 
     private suspend fun tryRound() {
@@ -133,9 +131,11 @@
         val now = clock.now()
         booting.removeInContact(snapshot.machines)
         reconciliation.reconcileIfDue(snapshot, now)
-        if (now < workersInContactAt) return
+        if (now < workersInContactAt || leaderLease.term != term) return
         reconciliation.terminateOverdue(snapshot, instanceTypes, now - electedAt, now)
         booting.persistIfChanged(now)
+        // Another term may have begun while the cloud or the key-value store was slow: the snapshot is not its own.
+        if (leaderLease.term != term) return
         val plan = plan(snapshot, now)
         logSummaryIfDue(snapshot, now)
         scaleIn(snapshot, plan, now)
--- a/src/main/kotlin/umberslip/provisioning/ProvisioningRequests.kt
+++ b/src/main/kotlin/umberslip/provisioning/ProvisioningRequests.kt
@@ -23,19 +23,23 @@
 ) {
     /** Offers that had too little capacity, and until when they are not requested again. */
     private val backedOffUntil = HashMap<Offer, Duration>()
-    private val unresolved = ArrayDeque<NamedRequest>()
-    private var requestsOfTerm = 0
+    private var ofTerm = RequestsOfTerm()
 
     private class NamedRequest(
         val name: String,
         val request: ProvisioningRequest,
     )
 
+    /** What belongs to one term. A call that outlasts its term goes on with its own, which nobody else uses then. */
+    private class RequestsOfTerm {
+        val unresolved = ArrayDeque<NamedRequest>()
+        var count = 0
+    }
+
     /** Begins a leader's term; names have the term in them, so none is used again. */
     fun clear() {
-        unresolved.clear()
+        ofTerm = RequestsOfTerm()
         backedOffUntil.clear()
-        requestsOfTerm = 0
     }
 
     /** Whether [offer] lately had less capacity than was requested. */
@@ -46,9 +50,10 @@
 
     /** Sends unresolved requests again, as long as the leader lease allows it. */
     suspend fun resolve() {
-        while (unresolved.isNotEmpty() && leaderLease.mayStart(clock.now())) {
-            send(unresolved.first())
-            unresolved.removeFirst()
+        val current = ofTerm
+        while (current === ofTerm && current.unresolved.isNotEmpty() && leaderLease.mayStart(clock.now())) {
+            send(current.unresolved.first())
+            current.unresolved.removeFirst()
         }
     }
 
@@ -57,15 +62,22 @@
         requests: List<ProvisioningRequest>,
         term: Long,
     ) {
+        val current = ofTerm
         for (request in requests) {
-            if (!leaderLease.mayStart(clock.now())) return
-            val named = NamedRequest("${settings.member}-$term-${++requestsOfTerm}", request)
-            unresolved.addLast(named)
+            if (!maySend(current, term)) return
+            val named = NamedRequest("${settings.member}-$term-${++current.count}", request)
+            current.unresolved.addLast(named)
             send(named)
-            unresolved.removeLast()
+            current.unresolved.removeLast()
         }
     }
 
+    /** Whether the term, which numbers its requests, is still that of the leader. */
+    private fun maySend(
+        requests: RequestsOfTerm,
+        term: Long,
+    ): Boolean = requests === ofTerm && leaderLease.term?.value == term && leaderLease.mayStart(clock.now())
+
     private suspend fun send(named: NamedRequest) {
         val request = named.request
         val names = cloud.provision(named.name, request.offer, request.number)
--- /dev/null
+++ b/src/test/kotlin/umberslip/actor/LoopsTest.kt
@@ -0,0 +1,45 @@
+package umberslip.actor
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.seconds
+
+/** A loop outlives the failures of its rounds, and ends with its scope. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class LoopsTest {
+    private val scheduler = TestCoroutineScheduler()
+    private val scope = CoroutineScope(StandardTestDispatcher(scheduler) + SupervisorJob())
+    private val log = LoggerFactory.getLogger("umberslip.actor")
+
+    @Test
+    fun `a failed round is followed by the next`() {
+        var rounds = 0
+        val loop =
+            scope.launchLoop("test", log) {
+                rounds++
+                delay(1.seconds)
+                when (rounds) {
+                    2 -> error("an unexpected failure")
+                    4 -> throw CancellationException("of something that the round waited for")
+                }
+            }
+        scheduler.advanceTimeBy(10.seconds)
+        scheduler.runCurrent()
+        assertEquals(9, rounds, "ten seconds, of which the failures cost two, and the round that begins now")
+        scope.cancel()
+        scheduler.runCurrent()
+        assertTrue(loop.isCompleted)
+        scheduler.advanceTimeBy(10.seconds)
+        assertEquals(9, rounds)
+    }
+}
--- a/src/test/kotlin/umberslip/architecture/PackageDependenciesTest.kt
+++ b/src/test/kotlin/umberslip/architecture/PackageDependenciesTest.kt
@@ -22,7 +22,7 @@
             "records" to setOf("actor", "core", "http", "store"),
             "agents" to setOf("core", "http", "records"),
             "peers" to setOf("actor", "core", "settings"),
-            "leadership" to setOf("core", "http", "peers", "records", "settings", "store"),
+            "leadership" to setOf("actor", "core", "http", "peers", "records", "settings", "store"),
             "api" to setOf("actor", "cloud", "core", "http", "records", "settings", "store"),
             "scheduling" to
                 setOf(
@@ -41,6 +41,7 @@
             "recovery.archive" to setOf("core", "http", "records", "recovery", "store"),
             "provisioning" to
                 setOf(
+                    "actor",
                     "cloud",
                     "core",
                     "http",
@@ -53,6 +54,7 @@
                 ),
             "daemon" to
                 setOf(
+                    "actor",
                     "agents",
                     "api",
                     "cloud",
--- a/src/test/kotlin/umberslip/sim/ReelectionTest.kt
+++ b/src/test/kotlin/umberslip/sim/ReelectionTest.kt
@@ -12,7 +12,8 @@
  * A controller that steps down and is elected again while calls of its former term are under way.
  *
  * A call to the cloud may last for 5 s, longer than the leader's lease of 4 s. The loop of the provisioner ended with
- * the first such call (see ProvisioningRequestsTest), and jobs that came later waited for machines for ever.
+ * the first such call that succeeded (see ProvisioningRequestsTest): no line `machines provisioned` followed, and jobs
+ * that came later waited for machines for ever.
  */
 class ReelectionTest {
     @ParameterizedTest
@@ -20,18 +21,22 @@
     fun `machines are provisioned after every re-election within a call to the cloud`(seed: Int) {
         val random = Random(seed)
         val cluster =
-            SimulatedCluster(seed, FaultRates(lossy = 0.0, late = 0.5), ClusterSize(5), Fixtures::settingsJson)
+            SimulatedCluster(seed, FaultRates(lossy = 0.0, late = 0.0), ClusterSize(5), Fixtures::settingsJson)
         cluster.startController(0)
         cluster.run(15.seconds)
+        cluster.provisioningSlow = true
         repeat(8) { round ->
             repeat(3) { submit(cluster, random, round * 10 + it) }
-            cluster.run(random.nextInt(500, 4000).milliseconds)
+            cluster.upMachines().take(10).forEach(cluster::kill)
+            cluster.run(random.nextInt(1800, 4500).milliseconds)
             cluster.cutFromStore(0, 4500.milliseconds)
-            cluster.run(12.seconds)
+            cluster.run(40.seconds)
         }
+        cluster.provisioningSlow = false
         cluster.endFaults()
+        cluster.upMachines().forEach(cluster::kill)
         submit(cluster, random, 999)
-        cluster.run(600.seconds)
+        cluster.run(900.seconds)
         cluster.end()
         assertEquals(emptyList<String>(), cluster.violations.take(5))
         assertEquals(cluster.acceptedJobs, cluster.finishedJobs, cluster.describe())
@@ -44,7 +49,7 @@
     ) {
         val spec =
             Fixtures.unboundJob(random, number).copy(
-                tasks = 8,
+                tasks = 40,
                 cpus = 2.0,
                 priority = Priority.NORMAL,
                 expectedSeconds = 5.0,
--- a/src/test/kotlin/umberslip/sim/SimulatedCloud.kt
+++ b/src/test/kotlin/umberslip/sim/SimulatedCloud.kt
@@ -20,6 +20,9 @@
     /** While set, every request is refused. */
     var isOut = false
 
+    /** While set, responses to provisioning requests come only just in time. */
+    var isProvisioningSlow = false
+
     /** What was provisioned by the name of the request; a repeated one gets the same answer. */
     private val provisioned = HashMap<String, List<MachineName>>()
 
@@ -52,7 +55,10 @@
             name: String,
             offer: Offer,
             number: Int,
-        ): List<MachineName>? = call { provisioned[name] ?: provisionNew(name, offer, number) }
+        ): List<MachineName>? {
+            if (isProvisioningSlow) delay(random.nextLong(RESPONSE_TIMEOUT_MILLIS - 1500, RESPONSE_TIMEOUT_MILLIS - 300))
+            return call { provisioned[name] ?: provisionNew(name, offer, number) }
+        }
 
         private fun provisionNew(
             name: String,
--- a/src/test/kotlin/umberslip/sim/SimulatedCluster.kt
+++ b/src/test/kotlin/umberslip/sim/SimulatedCluster.kt
@@ -49,6 +49,9 @@
     /** While set, the cloud refuses every request. */
     var cloudOut by cloud::isOut
 
+    /** While set, responses to provisioning requests take 3.5 s to 5 s. */
+    var provisioningSlow by cloud::isProvisioningSlow
+
     /** That share of transactions gets no response and is carried out 2 to 12 s later, after newer ones. */
     var lateWrites by storeFaults::lateWrites
 
