--- a/src/test/kotlin/umberslip/api/JobApiTest.kt
+++ b/src/test/kotlin/umberslip/api/JobApiTest.kt
@@ -7,11 +7,13 @@
 import umberslip.core.JobSpec
 import umberslip.core.Shape
 import umberslip.http.Response
+import umberslip.records.Keys
 import umberslip.records.toMap
 import umberslip.sim.ClusterSize
 import umberslip.sim.FaultRates
 import umberslip.sim.Fixtures
 import umberslip.sim.SimulatedCluster
+import umberslip.store.Write
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -188,4 +190,42 @@
         }
         assertTrue(asked > 3, "only $asked requests were under way")
     }
+
+    /**
+     * An outcome that cannot be read: the request about its job was never answered, and its place among the 400 open
+     * ones was never free again, so that this controller refused everything with `too many requests at once` in the end.
+     */
+    @Test
+    fun `a malformed outcome is answered with 503, and takes no place for ever`() {
+        val spec = job(1)
+        val malformed = mapOf("status" to "unknown", "pieces" to "many")
+        cluster.store.compareAndSwap(emptyList(), listOf(Write.Put(Keys.outcome(spec.id), malformed)))
+        repeat(401) {
+            val pending = cluster.send(0, "GET", "/api/jobs/${spec.id.value}")
+            cluster.run(20.milliseconds)
+            assertTrue(pending.isCompleted, "request $it was not answered")
+            assertEquals(503, pending.getCompleted().status)
+        }
+        assertEquals(503, cancel(spec).first)
+        assertEquals(503, submit(spec).status, "neither absent nor known")
+        assertEquals(503, submit(job(2), mapOf("awaits" to listOf(spec.id.value))).status)
+        assertEquals(201, submit(job(3)).status)
+        assertEquals(malformed, cluster.store.get(Keys.outcome(spec.id))?.data, "left as it is")
+    }
+
+    /** Of a status request that was unconfirmed and late, both reasons counted. */
+    @Test
+    fun `a request that is refused for two reasons counts once`() {
+        val leader = checkNotNull(cluster.leader())
+
+        fun refused() = checkNotNull(cluster.leaderMetrics()).counter("umberslip.requests.refused").count()
+        val before = refused()
+        val pending = cluster.send(leader, "GET", "/api/jobs/run-000001")
+        cluster.run(1.milliseconds)
+        cluster.store.out = true
+        cluster.freeze(leader, 3.seconds)
+        cluster.run(5.seconds)
+        assertEquals(503, pending.getCompleted().status)
+        assertEquals(1.0, refused() - before)
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/umberslip/records/MalformedRecordsTest.kt
@@ -0,0 +1,156 @@
+package umberslip.records
+
+import org.junit.jupiter.api.Assertions.assertDoesNotThrow
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import umberslip.core.JobId
+import umberslip.core.MachineName
+import umberslip.core.Term
+import umberslip.http.MalformedMessageException
+import umberslip.sim.Fixtures
+import umberslip.store.Change
+import umberslip.store.StoreLease
+import umberslip.store.Version
+import java.time.Instant
+import java.util.BitSet
+import kotlin.random.Random
+
+/**
+ * Stored records with missing, surplus or odd values.
+ *
+ * A log row with too few values, such as a start of two, was read with `IndexOutOfBoundsException` in place of
+ * [MalformedMessageException]. The record watcher's read ended without a message that it had completed, so no read
+ * followed, and everything that is read from the replica grew old without a line in the log. A task index below zero was
+ * read as it stood, and the next question about that job failed with the same exception.
+ */
+class MalformedRecordsTest {
+    private val jobId = JobId("run-000004")
+    private val parsers: Map<String, Pair<Map<String, Any?>, (Any?) -> Unit>> =
+        mapOf(
+            "job" to
+                (JobRecord(Fixtures.job(Random(4), 4), Instant.ofEpochMilli(7), false).toMap() to { JobRecord.parse(it) }),
+            "progress" to (progress().toMap() to { ProgressRecord.parse(it) }),
+            "log entry" to (logEntry().toMap() to { LogRecord.parse(it) }),
+            "leader" to (LeaderRecord("c-1", Term(4), StoreLease(9)).toMap() to { LeaderRecord.parse(it) }),
+            "outcome" to (OutcomeRecord(JobOutcome.DONE, 3).toMap() to { OutcomeRecord.parse(it) }),
+            "machines" to (MachineSetRecord(setOf(MachineName("h-1"))).toMap() to { MachineSetRecord.parse(it) }),
+            "booting machines" to (bootingMachines().toMap() to { BootingMachinesRecord.parse(it).toList() }),
+            "term" to (mapOf("term" to 4L) to { TermRecord.parse(it) }),
+        )
+
+    private fun progress() = ProgressRecord(BitSet().apply { set(3) }, listOf(Placement(1, 2, MachineName("h-1"))), lastAttempt = 2, seq = 7)
+
+    private fun logEntry(): LogRecord {
+        val starts = listOf(Placement(4, 3, MachineName("h-2")), Placement(5, 3, MachineName("h-3")))
+        val ends = listOf(LoggedExit(3, 2, true), LoggedExit(6, 1, false))
+        return LogRecord(78, mapOf(jobId to LogRow(starts, ends)))
+    }
+
+    private fun bootingMachines() =
+        BootingMachinesRecord(
+            listOf(RecordedBootingMachine(MachineName("h-9"), "small", "east", true, Instant.ofEpochMilli(5))),
+        )
+
+    @Test
+    fun `a malformed record of any kind is reported as such, and by no other exception`() {
+        for ((kind, recordAndParser) in parsers) {
+            val (record, parse) = recordAndParser
+            assertDoesNotThrow({ parse(readBack(record)) }, kind)
+            for (seed in 1..500) {
+                val mutant = Mutation(Random(seed)).of(readBack(record))
+                try {
+                    parse(mutant)
+                } catch (_: MalformedMessageException) {
+                    // The one answer to bad data.
+                } catch (e: RuntimeException) {
+                    throw AssertionError("$kind, seed $seed: $mutant", e)
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a log row with too few values is malformed`() {
+        for (row in listOf(
+            listOf(jobId.value, listOf(4L, 3L), listOf<Any>(), listOf<Any>()),
+            listOf(jobId.value, listOf<Any>(), listOf(3L), listOf<Any>()),
+            listOf(jobId.value, listOf<Any>(), listOf<Any>(), listOf(5L, 1L, 6L)),
+            listOf(jobId.value, listOf(-1L, 3L, "h-2"), listOf<Any>(), listOf<Any>()),
+            listOf(jobId.value, listOf(1L shl 32, 3L, "h-2"), listOf<Any>(), listOf<Any>()),
+        )) {
+            assertMalformed(row.toString()) { LogRecord.parse(mapOf("seq" to 78L, "rows" to listOf(row))) }
+        }
+    }
+
+    @Test
+    fun `whatever is stored, the replica reads on and answers every question`() {
+        for (seed in 1..500) {
+            val random = Random(seed)
+            val replica = RecordReplica()
+            var version = 0L
+            repeat(20) {
+                val (key, record) =
+                    listOf(
+                        Keys.log(random.nextInt(3)) to logEntry().toMap(),
+                        Keys.progress(jobId, 0) to progress().toMap(),
+                        Keys.job(jobId) to JobRecord(job(), Instant.ofEpochMilli(7), false).toMap(),
+                    ).random(random)
+                val data = if (random.nextBoolean()) Mutation(random).of(readBack(record)) else readBack(record)
+                replica.apply(Change.Put(key, data, Version(++version)))
+                assertDoesNotThrow({ replica.progress(jobId) }, "seed $seed, $key: $data")
+            }
+        }
+    }
+
+    private fun job() = Fixtures.job(Random(4), 4).copy(id = jobId, tasks = 8)
+
+    @Test
+    fun `a malformed record is named once, and the others are applied`() {
+        val replica = RecordReplica()
+        replica.apply(Change.Put(Keys.log(1), mapOf("seq" to 1L, "rows" to listOf(listOf("x"))), Version(1)))
+        replica.apply(Change.Put(Keys.log(2), readBack(logEntry().toMap()), Version(2)))
+        assertEquals(setOf(Keys.log(1)), replica.unreadable)
+        assertEquals(setOf(2), replica.log().keys)
+    }
+
+    private fun assertMalformed(
+        message: String,
+        parse: () -> Unit,
+    ) {
+        val failure = runCatching(parse).exceptionOrNull()
+        assertTrue(failure is MalformedMessageException, "$message: $failure")
+    }
+}
+
+/** Changes one value somewhere in a document: removes it, repeats it, or replaces it by an odd one. */
+private class Mutation(
+    private val random: Random,
+) {
+    fun of(document: Any?): Any? =
+        when {
+            document is Map<*, *> && document.isNotEmpty() && random.nextInt(8) > 0 -> ofMap(document)
+            document is List<*> && document.isNotEmpty() && random.nextInt(4) > 0 -> ofList(document)
+            else -> ODD_VALUES.random(random)
+        }
+
+    private fun ofMap(map: Map<*, *>): Map<*, *> {
+        val key = map.keys.random(random)
+        if (random.nextInt(4) == 0) return map - key
+        return map + (key to of(map[key]))
+    }
+
+    private fun ofList(list: List<*>): List<*> {
+        val index = list.indices.random(random)
+        return when (random.nextInt(4)) {
+            0 -> list.filterIndexed { i, _ -> i != index }
+            1 -> list + list[index]
+            else -> list.mapIndexed { i, item -> if (i == index) of(item) else item }
+        }
+    }
+
+    private companion object {
+        val ODD_VALUES =
+            listOf(null, "", "x", "-1", -1L, 0L, Long.MAX_VALUE, Long.MIN_VALUE, 1.5, true, emptyList<Any>(), emptyMap<Any, Any>())
+    }
+}
--- a/src/test/kotlin/umberslip/sim/SimulatedCloud.kt
+++ b/src/test/kotlin/umberslip/sim/SimulatedCloud.kt
@@ -56,7 +56,7 @@
             offer: Offer,
             number: Int,
         ): List<MachineName>? {
-            if (isProvisioningSlow) delay(random.nextLong(RESPONSE_TIMEOUT_MILLIS - 1500, RESPONSE_TIMEOUT_MILLIS - 300))
+            if (isProvisioningSlow) delay(random.nextLong(SLOW_MILLIS, SLOW_MILLIS + 1200))
             return call { provisioned[name] ?: provisionNew(name, offer, number) }
         }
 
@@ -93,5 +93,8 @@
 
     private companion object {
         const val RESPONSE_TIMEOUT_MILLIS = 5000L
+
+        /** With what else a call takes, less than the time-out. */
+        const val SLOW_MILLIS = 3500L
     }
 }
