A refused status request counts once in umberslip_requests_refused

Symptom: one 503 raises the counter by two. Cause: an unconfirmed status that is late as well made the refusal twice. It is made and counted only where the response is sent.

--- a/src/main/kotlin/umberslip/api/JobApi.kt
+++ b/src/main/kotlin/umberslip/api/JobApi.kt
@@ -188,13 +188,13 @@
     }
 
     /**
-     * A job's status, unless the request took too long: after a pause of this process its user no longer waits, and the
+     * A job's status; null where it could not be confirmed, or where that took too long: after a pause of this process its user no longer waits, and the
      * status read before may contradict what other controllers answered since.
      */
-    private suspend fun currentStatus(id: JobId): Response {
+    private suspend fun currentStatus(id: JobId): Response? {
         val asked = clock.now()
-        val response = statuses.status(id)?.let { JobResponses.status(id, it) } ?: unavailable()
-        return if (clock.now() - asked > USER_PATIENCE) unavailable() else response
+        val status = statuses.status(id) ?: return null
+        return if (clock.now() - asked > USER_PATIENCE) null else JobResponses.status(id, status)
     }
 
     /** Null where the cancellation could not be decided. */
