Malformed records neither end reads nor hold requests

Symptoms: after a log row with too few values the record watcher reads no more; a malformed outcome leaves requests unanswered and takes one of 400 places each. Cause: bad data came out of parsers as other exceptions than the one expected, and completion was sent only where nothing unexpected was thrown. Parsers have one answer, reads and requests complete however they end, users get 503. Beside it: a job with a malformed record was taken for absent (404), unreadable responses of the store ended loops.

--- a/src/main/kotlin/umberslip/api/JobApi.kt
+++ b/src/main/kotlin/umberslip/api/JobApi.kt
@@ -13,6 +13,7 @@
 import umberslip.http.Response
 import umberslip.http.ServiceException
 import umberslip.records.JobRecord
+import umberslip.records.MalformedRecordException
 import umberslip.records.RecordView
 import umberslip.records.RecordWatcher
 import umberslip.settings.Settings
@@ -45,6 +46,9 @@
     private var isWritingBatch = false
     private var openRequests = 0
 
+    /** Keys of malformed records that have been logged. */
+    private val loggedKeys = HashSet<String>()
+
     /** Null before the cloud was read for the first time. */
     private var instanceTypes: List<InstanceType>? = null
     private val accepted = metrics.counter("umberslip.jobs.accepted")
@@ -78,16 +82,26 @@
         }
         openRequests++
         scope.launch {
-            val response =
-                try {
-                    find()
-                } catch (_: ServiceException) {
-                    null
-                }
-            enqueue(JobApiMessage.Answered(respond, response ?: unavailable()))
+            var response: Response? = null
+            try {
+                response = find()
+            } catch (e: MalformedRecordException) {
+                logMalformed(e)
+            } catch (_: ServiceException) {
+                // Refused below.
+            } finally {
+                // However it ended: the request holds one of the open places until it is answered.
+                enqueue(JobApiMessage.Answered(respond, response ?: unavailable()))
+            }
         }
     }
 
+    /** Once for each key, not for each request. */
+    private fun logMalformed(failure: MalformedRecordException) {
+        if (loggedKeys.size >= MAX_LOGGED_KEYS || !loggedKeys.add(failure.key)) return
+        log.error("malformed record left alone: key={} reason={}", failure.key, failure.reason)
+    }
+
     private fun refuse(
         respond: (Response) -> Unit,
         retryAfterSeconds: Int,
@@ -165,7 +179,7 @@
     ): String? {
         for (id in spec.dependencies) {
             if (id == spec.id) return "awaits itself"
-            val dependency = records.job(id)?.value
+            val dependency = records.readJob(id)?.value
             if (dependency == null && outcomes.read(id) == null) return "awaits ${id.value}, which was never accepted"
             if (dependency?.spec?.shape == Shape.DAEMON) return "awaits ${id.value}, which is never done"
         }
@@ -204,6 +218,9 @@
         /** As many requests as the key-value store can serve before their users give up. */
         const val MAX_OPEN_REQUESTS = 400
 
+        /** Bounds the memory that is spent on remembering which malformed records were logged. */
+        const val MAX_LOGGED_KEYS = 1000
+
         /** How long users wait for the response to a request. */
         val USER_PATIENCE = 2.seconds
     }
--- a/src/main/kotlin/umberslip/api/JobCancellation.kt
+++ b/src/main/kotlin/umberslip/api/JobCancellation.kt
@@ -32,7 +32,7 @@
         outcomes.cached(id)?.let { return JobStatus.Finished(it) }
         repeat(MAX_ATTEMPTS) {
             val records = recordWatcher.confirm() ?: return null
-            val job = records.job(id) ?: return statuses.finished(id)
+            val job = records.readJob(id) ?: return statuses.finished(id)
             val outcome = statuses.cancelled(job.value)
             if (statuses.isCancelled(job.value, records)) return JobStatus.Finished(outcome)
             if (write(id, job, outcome) is TransactionResult.Applied) {
--- a/src/main/kotlin/umberslip/api/JobStatusReader.kt
+++ b/src/main/kotlin/umberslip/api/JobStatusReader.kt
@@ -27,7 +27,7 @@
         id: JobId,
         records: RecordView,
     ): JobStatus {
-        val job = records.job(id)?.value ?: return finished(id)
+        val job = records.readJob(id)?.value ?: return finished(id)
         // It may have been cancelled by this controller while the read was under way.
         outcomes.cached(id)?.let { return JobStatus.Finished(it) }
         if (isCancelled(job, records)) return JobStatus.Finished(cancelled(job))
@@ -64,7 +64,7 @@
         val neverAccepted = HashSet<JobId>()
         while (true) {
             val state =
-                DependencyState.of(job, { records.job(it)?.value }) {
+                DependencyState.of(job, { records.readJob(it)?.value }) {
                     if (it in neverAccepted) JobOutcome.DONE else outcomes.cached(it)?.end
                 }
             when (state) {
--- a/src/main/kotlin/umberslip/api/OutcomeCache.kt
+++ b/src/main/kotlin/umberslip/api/OutcomeCache.kt
@@ -5,6 +5,7 @@
 import umberslip.core.JobId
 import umberslip.records.Keys
 import umberslip.records.OutcomeRecord
+import umberslip.records.parseRecord
 import umberslip.store.KeyValueStore
 
 /** Outcomes of jobs, which never change, so that repeated requests need no read. Confined to the actors' thread. */
@@ -30,11 +31,12 @@
     /**
      * Reads an outcome from the key-value store, where the cache may not have it yet; null where none is written.
      *
+     * @throws umberslip.records.MalformedRecordException where it is malformed
      * @throws umberslip.http.ServiceException where it could not be read
      */
     suspend fun read(id: JobId): OutcomeRecord? {
         val entry = store.lookUp(Keys.outcome(id)) ?: return null
-        return OutcomeRecord.parse(entry.data).also { add(id, it) }
+        return entry.parseRecord(OutcomeRecord::parse).also { add(id, it) }
     }
 
     private companion object {
--- a/src/main/kotlin/umberslip/daemon/HeartbeatReceiver.kt
+++ b/src/main/kotlin/umberslip/daemon/HeartbeatReceiver.kt
@@ -74,9 +74,14 @@
         }
         renewalsInFlight++
         scope.launch {
-            val answer = recordWatcher.confirm()?.let { FollowerLeaseRenewal.answer(heartbeat, it) }
-            renewalsInFlight--
-            respond(if (answer == null) Response.MISDIRECTED else Response(OK, answer.toMap()))
+            var response = Response.MISDIRECTED
+            try {
+                val answer = recordWatcher.confirm()?.let { FollowerLeaseRenewal.answer(heartbeat, it) }
+                if (answer != null) response = Response(OK, answer.toMap())
+            } finally {
+                renewalsInFlight--
+                respond(response)
+            }
         }
     }
 
--- a/src/main/kotlin/umberslip/records/LogRecord.kt
+++ b/src/main/kotlin/umberslip/records/LogRecord.kt
@@ -101,22 +101,26 @@
                 ?: throw MalformedMessageException("$ROWS has a row without a list at index $at")
 
         private fun start(values: List<*>): Placement {
-            val (index, attempt, machineName) = values
+            val index = values[0]
+            val attempt = values.getOrNull(1)
+            val machineName = values.getOrNull(2)
             if (index !is Long || attempt !is Long || machineName !is String) {
                 throw MalformedMessageException("$ROWS has a start that is not [task, attempt, machine]")
             }
-            return Placement(index.toInt(), attempt, MachineName(machineName))
+            return Placement(taskIndex(ROWS, index), attempt, MachineName(machineName))
         }
 
         private fun ends(
             flat: List<*>,
             done: Boolean,
         ): List<LoggedExit> =
-            flat.chunked(END_FIELDS).map { (index, attempt) ->
+            flat.chunked(END_FIELDS).map { values ->
+                val index = values[0]
+                val attempt = values.getOrNull(1)
                 if (index !is Long || attempt !is Long) {
                     throw MalformedMessageException("$ROWS has an exit that is not [task, attempt]")
                 }
-                LoggedExit(index.toInt(), attempt, done)
+                LoggedExit(taskIndex(ROWS, index), attempt, done)
             }
     }
 }
--- a/src/main/kotlin/umberslip/records/ProgressRecord.kt
+++ b/src/main/kotlin/umberslip/records/ProgressRecord.kt
@@ -91,7 +91,7 @@
             if (index == null || attempt == null || machineName == null) {
                 throw MalformedMessageException("$PLACED has what is not [task, attempt, machine]")
             }
-            return Placement(index.toInt(), attempt, MachineName(machineName))
+            return Placement(taskIndex(PLACED, index), attempt, MachineName(machineName))
         }
 
         private fun hex(bits: BitSet): String = bits.toByteArray().joinToString("") { "%02x".format(it) }
--- a/src/main/kotlin/umberslip/records/RecordReplica.kt
+++ b/src/main/kotlin/umberslip/records/RecordReplica.kt
@@ -21,10 +21,8 @@
 
     /** The rows of the log by job and slot, since every question about a job needs its own. */
     private val logRows = HashMap<JobId, HashMap<Int, LogRow>>()
-    private val malformedKeys = HashSet<String>()
-
-    /** The keys of malformed records; these are left alone. */
-    val unreadable: Set<String> get() = malformedKeys
+    private val malformed = HashMap<String, Version>()
+    override val unreadable: Set<String> get() = malformed.keys
 
     override var leader: Versioned<LeaderRecord>? = null
         private set
@@ -95,10 +93,12 @@
 
     private fun put(entry: Entry): RecordEvent? =
         try {
-            putParsed(entry)
+            val event = putParsed(entry)
+            if (malformed[entry.key]?.let { it.value < entry.version.value } == true) malformed.remove(entry.key)
+            event
         } catch (e: MalformedMessageException) {
             // Reported, never guessed at: the key is left alone, and its job neither runs nor is forgotten.
-            if (malformedKeys.add(entry.key)) {
+            if (malformed.put(entry.key, entry.version) == null) {
                 log.error(
                     "malformed record left alone: key={} version={} reason={}",
                     entry.key,
@@ -189,7 +189,7 @@
         key: String,
         version: Version,
     ): RecordEvent? {
-        malformedKeys.remove(key)
+        malformed.remove(key)
         val job = Keys.asJob(key)
         val block = if (job == null) Keys.asProgress(key) else null
         return when {
--- a/src/main/kotlin/umberslip/records/RecordView.kt
+++ b/src/main/kotlin/umberslip/records/RecordView.kt
@@ -26,9 +26,23 @@
     /** The machines whose leases only the leader may renew. */
     val revokedRenewals: Versioned<MachineSetRecord>?
 
-    /** The record of an unfinished job; null for others. */
+    /** The keys of malformed records; these are left alone, and what they hold is unknown. */
+    val unreadable: Set<String>
+
+    /** The record of an unfinished job; null for others, and for one whose first record is malformed. */
     fun job(id: JobId): Versioned<JobRecord>?
 
+    /**
+     * The record of an unfinished job, where it matters whether there is none.
+     *
+     * @throws MalformedRecordException where there is one, but it is malformed
+     */
+    fun readJob(id: JobId): Versioned<JobRecord>? {
+        val key = Keys.job(id)
+        if (key in unreadable) throw MalformedRecordException(key, "see the log of the first read")
+        return job(id)
+    }
+
     /** The records of all unfinished jobs. */
     fun jobs(): Map<JobId, Versioned<JobRecord>>
 
--- a/src/main/kotlin/umberslip/records/RecordWatcher.kt
+++ b/src/main/kotlin/umberslip/records/RecordWatcher.kt
@@ -97,6 +97,8 @@
 
     private fun readCompleted(confirmed: Boolean) {
         isReading = false
+        // A read that failed unexpectedly is spaced out as well.
+        if (!confirmed) consecutiveFailures = maxOf(consecutiveFailures, 1)
         val answered = askedBeforeRead
         askedBeforeRead = ArrayList()
         answered.forEach { it.complete(if (confirmed) replica else null) }
@@ -136,8 +138,13 @@
         askedBeforeRead = waiting
         waiting = ArrayList()
         scope.launch {
-            val confirmed = read(now)
-            enqueue(RecordWatcherMessage.ReadCompleted(confirmed))
+            var confirmed = false
+            try {
+                confirmed = read(now)
+            } finally {
+                // However the read ended: without this message no other would ever begin.
+                enqueue(RecordWatcherMessage.ReadCompleted(confirmed))
+            }
         }
     }
 
--- a/src/main/kotlin/umberslip/scheduling/DependencyLookups.kt
+++ b/src/main/kotlin/umberslip/scheduling/DependencyLookups.kt
@@ -7,6 +7,7 @@
 import umberslip.records.JobOutcome
 import umberslip.records.Keys
 import umberslip.records.OutcomeRecord
+import umberslip.records.parseRecord
 import umberslip.store.KeyValueStore
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -51,7 +52,7 @@
 
     private suspend fun read(id: JobId): JobOutcome? =
         try {
-            store.get(Keys.outcome(id))?.let { OutcomeRecord.parse(it.data).end }
+            store.get(Keys.outcome(id))?.parseRecord(OutcomeRecord::parse)?.end
         } catch (_: ServiceException) {
             // Asked for again after a while, as one that does not exist yet.
             null
--- a/src/main/kotlin/umberslip/store/HttpKeyValueStore.kt
+++ b/src/main/kotlin/umberslip/store/HttpKeyValueStore.kt
@@ -1,6 +1,7 @@
 package umberslip.store
 
 import io.netty.handler.codec.http.HttpMethod
+import umberslip.http.Fields
 import umberslip.http.HttpClient
 import umberslip.http.MalformedMessageException
 import umberslip.http.NoResponseException
@@ -30,7 +31,7 @@
     private suspend fun fetch(key: String): Entry? {
         val reply = send(HttpMethod.GET, "${KeyValueStoreProtocol.KEYS_PATH}/$key", null)
         return when (reply.status) {
-            200 -> KeyValueStoreProtocol.entry(reply.fields())
+            200 -> decode { KeyValueStoreProtocol.entry(reply.fields()) }
             404 -> null
             else -> refused(reply)
         }
@@ -44,13 +45,15 @@
         val query = "${KeyValueStoreProtocol.PREFIX}=$prefix$from&${KeyValueStoreProtocol.PAGE_SIZE}=$PAGE_ENTRIES"
         val reply = call(HttpMethod.GET, "${KeyValueStoreProtocol.KEYS_PATH}?$query", null)
         if (reply.status != 200) refused(reply)
-        val fields = reply.fields()
-        return Page(
+        return decode { page(reply.fields()) }
+    }
+
+    private fun page(fields: Fields) =
+        Page(
             entries = fields.maps(KeyValueStoreProtocol.ENTRIES).map(KeyValueStoreProtocol::entry),
             more = fields.flag(KeyValueStoreProtocol.HAS_MORE),
             revision = fields.long(KeyValueStoreProtocol.REVISION),
         )
-    }
 
     override suspend fun changes(
         prefix: String,
@@ -63,7 +66,10 @@
         val reply = call(HttpMethod.GET, "${KeyValueStoreProtocol.CHANGES_PATH}?$query", null)
         if (reply.status == 410) return null
         if (reply.status != 200) refused(reply)
-        val fields = reply.fields()
+        return decode { changes(reply.fields()) }
+    }
+
+    private fun changes(fields: Fields): Changes {
         val changes = fields.maps(KeyValueStoreProtocol.EVENTS).map(KeyValueStoreProtocol::change)
         return Changes(fields.long(KeyValueStoreProtocol.REVISION), changes)
     }
@@ -78,7 +84,11 @@
                 KeyValueStoreProtocol.WRITES to writes.map(KeyValueStoreProtocol::write),
             )
         val reply = call(HttpMethod.POST, KeyValueStoreProtocol.TRANSACTION_PATH, body)
-        return when (reply.status) {
+        return decode { transactionResult(reply) }
+    }
+
+    private fun transactionResult(reply: Reply): TransactionResult =
+        when (reply.status) {
             200 -> TransactionResult.Applied(Version(reply.fields().long(KeyValueStoreProtocol.REVISION)))
             409 -> {
                 val failed = reply.fields().textsOrNull(KeyValueStoreProtocol.FAILED_KEYS)
@@ -87,7 +97,6 @@
             400 -> rejected(reply)
             else -> refused(reply)
         }
-    }
 
     private fun rejected(reply: Reply): TransactionResult {
         val error = reply.fields().textOrNull(KeyValueStoreProtocol.ERROR)
@@ -99,7 +108,7 @@
         val body = mapOf(KeyValueStoreProtocol.TTL_MILLIS to ttl.inWholeMilliseconds)
         val reply = call(HttpMethod.POST, KeyValueStoreProtocol.LEASES_PATH, body, urgent = true)
         if (reply.status != 200) refused(reply)
-        return StoreLease(reply.fields().long(KeyValueStoreProtocol.LEASE))
+        return decode { StoreLease(reply.fields().long(KeyValueStoreProtocol.LEASE)) }
     }
 
     override suspend fun renew(lease: StoreLease): Boolean {
@@ -133,9 +142,12 @@
         method: HttpMethod,
         path: String,
         body: Any?,
-    ): Reply =
+    ): Reply = decode { http.call(method, path, body, TIMEOUT) }
+
+    /** Whatever an unreadable response said, the request may have been carried out. */
+    private inline fun <T> decode(read: () -> T): T =
         try {
-            http.call(method, path, body, TIMEOUT)
+            read()
         } catch (e: MalformedMessageException) {
             throw NoResponseException("key-value store: ${e.message}")
         }
