--- a/src/main/kotlin/umberslip/scheduling/Machine.kt
+++ b/src/main/kotlin/umberslip/scheduling/Machine.kt
@@ -93,7 +93,7 @@
     /** It fails tasks of healthy jobs, so nothing more is placed on it. */
     var isQuarantined = false
 
-    /** Keeps the machine for a starving job; null where any may be placed. */
+    /** Reserves the machine for a starving job; null where any may be placed. */
     var reservation: Reservation? = null
         private set
 
--- a/src/main/kotlin/umberslip/scheduling/RecordLoader.kt
+++ b/src/main/kotlin/umberslip/scheduling/RecordLoader.kt
@@ -43,7 +43,8 @@
     /** What malformed records hold is unknown: nothing rests on them, and nothing is written in their place. */
     private fun leaveAlone(unreadable: Set<String>) {
         for (key in unreadable) {
-            Keys.asProgress(key)?.let { jobs[it.job]?.isUnreadable = true }
+            val job = Keys.asJob(key) ?: Keys.asProgress(key)?.job
+            jobs[job]?.isUnreadable = true
             writeAheadLog.leaveAlone(key)
         }
     }
--- /dev/null
+++ b/src/main/kotlin/umberslip/scheduling/RecordResolution.kt
@@ -0,0 +1,91 @@
+package umberslip.scheduling
+
+import org.slf4j.LoggerFactory
+import umberslip.core.JobId
+import umberslip.http.MalformedMessageException
+import umberslip.records.JobRecord
+import umberslip.records.Keys
+import umberslip.records.LogRecord
+import umberslip.records.ProgressRecord
+import umberslip.records.Versioned
+import umberslip.store.Version
+
+/**
+ * Takes over what the key-value store shows under a key whose state the leader does not know. A malformed record is
+ * left alone: its version is not taken over, so that nothing is written in its place.
+ */
+internal class RecordResolution(
+    private val jobs: Map<JobId, RunningJob>,
+    private val assignments: AssignmentLifecycle,
+    private val writeAheadLog: WriteAheadLog,
+    private val updateJob: (RunningJob, Versioned<JobRecord>) -> Unit,
+    private val removeJob: (RunningJob) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("umberslip.scheduling")
+
+    /** The key has this [version], null where it does not exist, and this [data], null where it has no contents. */
+    fun resolve(
+        key: String,
+        version: Version?,
+        data: Any?,
+    ) {
+        try {
+            if (version == null) absent(key) else present(key, version, data)
+        } catch (e: MalformedMessageException) {
+            log.error("malformed record left alone: key={} reason={}", key, e.message)
+            val job = Keys.asJob(key) ?: Keys.asProgress(key)?.job
+            jobs[job]?.let(::suspendUnreadable)
+            writeAheadLog.leaveAlone(key)
+        }
+    }
+
+    private fun absent(key: String) {
+        val job = Keys.asJob(key)
+        val block = progressBlock(key)
+        when {
+            block != null -> block.version = Version.NONE
+            job != null -> jobs[job]?.let(removeJob)
+            else -> writeAheadLog.resolve(key, null)
+        }
+    }
+
+    private fun present(
+        key: String,
+        version: Version,
+        data: Any?,
+    ) {
+        val job = Keys.asJob(key)
+        when {
+            job != null -> jobPresent(job, version, data)
+            Keys.asProgress(key) != null -> {
+                if (data != null) ProgressRecord.parse(data)
+                progressBlock(key)?.version = version
+            }
+            else -> {
+                if (Keys.asLog(key) != null && data != null) LogRecord.parse(data)
+                writeAheadLog.resolve(key, version)
+            }
+        }
+    }
+
+    private fun progressBlock(key: String): ProgressBlock? {
+        val progressKey = Keys.asProgress(key) ?: return null
+        return jobs[progressKey.job]?.blockNumber(progressKey.block)
+    }
+
+    private fun jobPresent(
+        id: JobId,
+        version: Version,
+        data: Any?,
+    ) {
+        val known = jobs[id] ?: return
+        val record = JobRecord.parse(data)
+        if (version.value > known.record.version.value) updateJob(known, Versioned(record, version))
+    }
+
+    private fun suspendUnreadable(job: RunningJob) {
+        job.isUnreadable = true
+        assignments.withdrawUnrecorded(job)
+        assignments.refresh(job)
+    }
+}
--- a/src/main/kotlin/umberslip/scheduling/Reservation.kt
+++ b/src/main/kotlin/umberslip/scheduling/Reservation.kt
@@ -11,7 +11,7 @@
     return job.mayRunOn(this)
 }
 
-/** A machine's free resources are kept for a task of [job]; others may not use them meanwhile. */
+/** A machine is reserved for a task of [job]; others may not use its free resources meanwhile. */
 class Reservation(
     val job: RunningJob,
     val since: Duration,
--- a/src/main/kotlin/umberslip/scheduling/SchedulerState.kt
+++ b/src/main/kotlin/umberslip/scheduling/SchedulerState.kt
@@ -7,11 +7,9 @@
 import umberslip.core.JobId
 import umberslip.core.MachineName
 import umberslip.core.Term
-import umberslip.http.MalformedMessageException
 import umberslip.records.JobOutcome
 import umberslip.records.JobRecord
 import umberslip.records.Keys
-import umberslip.records.LogRecord
 import umberslip.records.ProgressRecord
 import umberslip.records.RecordView
 import umberslip.records.Versioned
@@ -70,6 +68,7 @@
     private val machineHeartbeats = MachineHeartbeats(instanceTypes, writeAheadLog.pendingRevocations)
     private val heartbeatReconciliation = HeartbeatReconciliation(assignments, failures)
     private val workerCommands = WorkerCommands(jobs)
+    private val recordResolution = RecordResolution(jobs, assignments, writeAheadLog, ::updateJob, ::remove)
 
     /** Later than any start that only a malformed entry of the log records can still be on a machine. */
     private var noDispatchBefore: Duration = Duration.ZERO
@@ -353,51 +352,7 @@
         key: String,
         version: Version?,
         data: Any?,
-    ) {
-        try {
-            resolveReadable(key, version, data)
-        } catch (e: MalformedMessageException) {
-            log.error("malformed record left alone: key={} reason={}", key, e.message)
-            val id = Keys.asJob(key) ?: Keys.asProgress(key)?.job
-            id?.let { jobs[it] }?.let(::suspendUnreadable)
-            writeAheadLog.leaveAlone(key)
-        }
-    }
-
-    private fun suspendUnreadable(job: RunningJob) {
-        job.isUnreadable = true
-        assignments.withdrawUnrecorded(job)
-        assignments.refresh(job)
-    }
-
-    private fun resolveReadable(
-        key: String,
-        version: Version?,
-        data: Any?,
-    ) {
-        val block = Keys.asProgress(key)
-        val job = Keys.asJob(key)
-        // Parsed for the exception alone: what is malformed keeps its version, so that it is not overwritten.
-        if (block != null && data != null) ProgressRecord.parse(data)
-        if (Keys.asLog(key) != null && data != null) LogRecord.parse(data)
-        when {
-            block != null -> jobs[block.job]?.blockNumber(block.block)?.version = version ?: Version.NONE
-            job != null && version == null -> jobs[job]?.let(::remove)
-            job != null && version != null && data != null -> resolveJob(job, version, data)
-            else -> writeAheadLog.resolve(key, version)
-        }
-    }
-
-    private fun resolveJob(
-        id: JobId,
-        version: Version,
-        data: Any,
-    ) {
-        val known = jobs[id] ?: return
-        if (known.record.version == version) return
-        // The time is not used, since the job is known.
-        jobChanged(id, Versioned(JobRecord.parse(data), version), Duration.ZERO)
-    }
+    ) = recordResolution.resolve(key, version, data)
 
     private companion object {
         /** Sequence numbers of the write-ahead log rise across terms: each term has so many bits for its own. */
