Test: records turn malformed and every controller restarts

A controller that saw a record while it could be read still has it, so only a restart of all shows what the next leader makes of a malformed one.

--- a/src/test/kotlin/umberslip/sim/UnreadableRecordsTest.kt
+++ b/src/test/kotlin/umberslip/sim/UnreadableRecordsTest.kt
@@ -67,6 +67,14 @@
         cluster.run(10.seconds)
     }
 
+    /** Controllers that never saw the record while it could be read. */
+    private fun restartAll() {
+        (0..2).forEach(cluster::stopController)
+        cluster.run(10.seconds)
+        (0..2).forEach(cluster::startController)
+        cluster.run(15.seconds)
+    }
+
     @Test
     fun `a job whose record turns malformed is neither forgotten nor run, and the others run on`() {
         val long = submit { it.copy(tasks = 400, cpus = 1.0, expectedSeconds = 8.0) }
@@ -88,7 +96,7 @@
         val progress = Keys.progress(long.id, 0)
         assertNotNull(cluster.store.get(progress), "no progress stored after 45 s")
         corrupt(Keys.job(long.id))
-        restartLeader()
+        restartAll()
         assertFinishes(submit())
         assertNotNull(cluster.store.get(progress), "the progress record was deleted")
     }
@@ -116,6 +124,8 @@
         assertLeftAlone(slot)
         restartLeader()
         repeat(3) { assertFinishes(submit()) }
+        restartAll()
+        repeat(3) { assertFinishes(submit()) }
         assertLeftAlone(slot)
         assertTrue(cluster.violations.isEmpty(), cluster.violations.toString())
     }
