--- a/src/test/kotlin/umberslip/sim/UnreadableRecordsTest.kt
+++ b/src/test/kotlin/umberslip/sim/UnreadableRecordsTest.kt
@@ -97,6 +97,7 @@
         assertNotNull(cluster.store.get(progress), "no progress stored after 45 s")
         corrupt(Keys.job(long.id))
         restartAll()
+        assertEquals(503, statusCode(long), "neither absent nor known")
         assertFinishes(submit())
         assertNotNull(cluster.store.get(progress), "the progress record was deleted")
     }
