--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -44,6 +44,12 @@
 
     static synchronized void openRecord(Path file) throws IOException {
         record = new PrintWriter(Files.newBufferedWriter(file), true);
+        // No case runs for longer than 120 s, whatever it waits for.
+        start(() -> {
+            sleep(119 - now());
+            say("could not run: no time left");
+            System.exit(2);
+        });
     }
 
     static synchronized void note(String format, Object... arguments) {
@@ -97,6 +103,7 @@
             binds = addresses.subList(0, count);
             peers = addresses.subList(count, 2 * count);
             processes = new Process[count];
+            Runtime.getRuntime().addShutdownHook(new Thread(this::close));
             areas = new String[count];
             for (int i = 0; i < count; i++) areas[i] = zones[i % zones.length];
             for (int i = 0; i < count; i++) {
