--- a/review/lib-2/Cluster.java
+++ b/review/lib-2/Cluster.java
@@ -12,7 +12,7 @@
     static final Fleet.Type BIUROWY = new Fleet.Type("biurowy", 32, 64, 1.28, 0.58, 20, 0.25);
     static final Fleet.Type GLOWNY = new Fleet.Type("glowny", 64, 256, 3.11, 1.23, 25, 0.25);
     static final List<String> ZONES = List.of("sala-krosno", "sala-jaslo");
-    static final Fleet.Times TIMES = new Fleet.Times(1.0, 10.0, 30.0);
+    static final Fleet.Times TIMES = new Fleet.Times(1.0, 10.0, 50.0, 4.0);
 
     /** The limits of the state service as the settings state them. */
     record Limits(double rps, double writeRps, double valueKb, int txnOps, String next) {
--- a/review/lib-2/Fleet.java
+++ b/review/lib-2/Fleet.java
@@ -8,12 +8,12 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The cloud and the machines with their workers, as PROTOCOL describes them, for arrays and daemons. */
+/** The cloud and the machines with their workers, as PROTOCOL describes them. */
 final class Fleet implements AutoCloseable {
     record Type(String label, double vcpus, double memoryGb, double rate, double marketPrice, double bootS, double pullGbPerS) {}
 
     /** The workers' times in the settings. */
-    record Times(double reportS, double leaseS, double cancelS) {}
+    record Times(double reportS, double leaseS, double gangWaitS, double gangPeerS) {}
 
     /** Whether a machine reaches a controller. A machine that doesn't gets no answer and no reset. */
     interface Links {
@@ -30,6 +30,8 @@
         double progressS;
         double savesUntil;
         double imageAt;
+        double gathersSince;
+        Gang gang;
 
         Task(String piece, long attempt, Map<String, Object> job) {
             this.piece = piece;
@@ -38,10 +40,20 @@
         }
 
         boolean isOnMachine() {
-            return status.equals("running") || status.equals("saving");
+            return status.equals("running") || status.equals("saving") || status.equals("gathering");
         }
     }
 
+    /** The tasks of one attempt of a gang, from when all of them are there. */
+    private static final class Gang {
+        final List<Task> members = new ArrayList<>();
+        final List<Machine> machines = new ArrayList<>();
+        double progressS;
+        double brokenAt = Double.MAX_VALUE;
+        double stoppedAt = Double.MAX_VALUE;
+        boolean saved;
+    }
+
     final class Machine {
         final String host;
         final Type type;
@@ -51,6 +63,7 @@
         double upAt;
         double goneAt = Double.MAX_VALUE;
         double hungUntil;
+        double takenAt = Double.MAX_VALUE;
         int node;
         long shift = 1;
         long counter;
@@ -92,7 +105,7 @@
             report.put("shift", shift);
             report.put("counter", ++counter);
             report.put("warrant", warrant);
-            report.put("warning_s", null);
+            report.put("warning_s", takenAt == Double.MAX_VALUE ? null : (Object) Math.max(0, takenAt - now()));
             List<Object> pieces = new ArrayList<>();
             for (Task task : tasks.values()) {
                 Map<String, Object> piece = new LinkedHashMap<>();
@@ -249,13 +262,22 @@
                 end(task, "done");
                 return;
             }
-            task.status = "running";
-            task.progressS = checkpoints.getOrDefault(task.piece, 0.0);
+            if (task.job.get("shape").equals("gang")) {
+                task.status = "gathering";
+                task.gathersSince = now();
+            } else {
+                task.status = "running";
+                task.progressS = checkpoints.getOrDefault(task.piece, 0.0);
+            }
             started(this, task.piece, task.attempt, task.job);
             changed = true;
         }
 
         private void stop(Task task, double windDownS) {
+            if (task.gang != null) {
+                stopMember(task, windDownS);
+                return;
+            }
             boolean saves = number(task.job, "savepoint_s") > 0;
             if (saves && task.status.equals("running") && windDownS >= number(task.job, "saving_s")) {
                 task.status = "saving";
@@ -266,6 +288,20 @@
             }
         }
 
+        private void stopMember(Task task, double windDownS) {
+            Gang gang = task.gang;
+            boolean saves = number(task.job, "savepoint_s") > 0 && windDownS >= number(task.job, "saving_s");
+            if (task.status.equals("saving") && windDownS > 0) return;
+            if (!saves || task.status.equals("saving")) {
+                end(task, "halted");
+                return;
+            }
+            gang.stoppedAt = Math.min(gang.stoppedAt, now());
+            task.status = "saving";
+            task.savesUntil = now() + number(task.job, "saving_s");
+            changed = true;
+        }
+
         private void end(Task task, String cause) {
             task.status = "ended";
             task.cause = cause;
@@ -291,6 +327,10 @@
             for (Task task : tasks.values()) {
                 if (task.status.equals("fetching") && now() >= task.imageAt) {
                     begin(task);
+                } else if (task.status.equals("gathering")) {
+                    if (now() - task.gathersSince > times.gangWaitS) end(task, "alone");
+                } else if (task.gang != null) {
+                    tickMember(task);
                 } else if (task.status.equals("running")) {
                     task.progressS += stepS;
                     double savepoint = number(task.job, "savepoint_s");
@@ -307,6 +347,22 @@
             }
         }
 
+        private void tickMember(Task task) {
+            Gang gang = task.gang;
+            if (task.status.equals("ended")) return;
+            if (now() > gang.brokenAt + times.gangPeerS / 2) {
+                end(task, "peers");
+            } else if (task.status.equals("saving") && now() >= task.savesUntil) {
+                boolean allSaved = gang.members.stream().allMatch(m -> m.status.equals("saving") && now() >= m.savesUntil);
+                if (allSaved || gang.saved) {
+                    if (!gang.saved) checkpoints.put(uid(task.piece), gang.progressS);
+                    gang.saved = true;
+                    task.saved = true;
+                    end(task, "halted");
+                }
+            }
+        }
+
         private Http.Answer direct(Http.Request request) {
             while (isHung()) sleep(0.02);
             synchronized (lock) {
@@ -338,6 +394,7 @@
     private final Map<String, Double> runSeconds = new ConcurrentHashMap<>();
     private final Set<String> done = new HashSet<>();
     private final Map<String, Double> checkpoints = new HashMap<>();
+    private final List<Gang> gangs = new ArrayList<>();
     private final Map<String, Integer> starts = new HashMap<>();
     private final Map<String, Double> limits;
     private List<String> nodes = List.of();
@@ -345,7 +402,7 @@
     private volatile boolean closed;
     volatile Links links = (machine, node) -> true;
     private final Http.Server cloud;
-    /** What was seen against the rules `ran_twice` and `quota`. */
+    /** What was seen against the rules `ran_twice`, `quota` and `wrong_place`. */
     final List<String> violations = new ArrayList<>();
 
     Fleet(Record record, Times times, List<Type> types, List<String> halls, double listLagS, int capacity,
@@ -422,14 +479,102 @@
             synchronized (lock) {
                 double step = now() - last;
                 last = now();
-                for (Machine machine : machines.values()) machine.tick(step);
+                for (Machine machine : machines.values()) {
+                    if (machine.takenAt <= now() && !machine.isGone()) take(machine);
+                    machine.tick(step);
+                }
+                tickGangs(step);
+            }
+        }
+    }
+
+    private static String uid(String piece) {
+        return piece.substring(0, piece.lastIndexOf('/'));
+    }
+
+    private void tickGangs(double step) {
+        Map<String, Gang> gathering = new HashMap<>();
+        for (Machine machine : machines.values()) {
+            if (machine.isGone() || machine.isHung()) continue;
+            for (Task task : machine.tasks.values()) {
+                if (!task.status.equals("gathering")) continue;
+                Gang gang = gathering.computeIfAbsent(uid(task.piece) + "#" + task.attempt, key -> new Gang());
+                gang.members.add(task);
+                gang.machines.add(machine);
+            }
+        }
+        for (Gang gang : gathering.values()) {
+            Map<String, Object> job = gang.members.get(0).job;
+            if (gang.members.size() < ((Number) job.get("pieces")).intValue()) continue;
+            gang.progressS = checkpoints.getOrDefault((String) job.get("uid"), 0.0);
+            record.log("gang %s runs from %.1f s", job.get("uid"), gang.progressS);
+            gangs.add(gang);
+            for (int i = 0; i < gang.members.size(); i++) {
+                gang.members.get(i).gang = gang;
+                gang.members.get(i).status = "running";
+                gang.machines.get(i).changed = true;
+            }
+        }
+        for (Gang gang : new ArrayList<>(gangs)) {
+            Map<String, Object> job = gang.members.get(0).job;
+            boolean complete = true;
+            for (int i = 0; i < gang.members.size(); i++) {
+                Task task = gang.members.get(i);
+                Machine machine = gang.machines.get(i);
+                boolean present = machine.tasks.get(task.piece + "#" + task.attempt) == task && !machine.isGone();
+                if (!present || machine.isHung() || task.status.equals("ended") && !gang.saved) complete = false;
+                if (now() > gang.stoppedAt + times.gangPeerS && task.status.equals("running")) complete = false;
+            }
+            if (!complete && gang.brokenAt == Double.MAX_VALUE) gang.brokenAt = now();
+            if (gang.members.stream().allMatch(task -> task.status.equals("ended"))) gangs.remove(gang);
+            if (!complete || gang.stoppedAt != Double.MAX_VALUE) continue;
+            gang.progressS += step;
+            double savepoint = number(job, "savepoint_s");
+            if (savepoint > 0) checkpoints.put((String) job.get("uid"), Math.floor(gang.progressS / savepoint) * savepoint);
+            if (gang.progressS >= runS(job)) {
+                for (int i = 0; i < gang.members.size(); i++) {
+                    done.add(gang.members.get(i).piece);
+                    gang.machines.get(i).end(gang.members.get(i), "done");
+                }
+                gangs.remove(gang);
+            }
+        }
+    }
+
+    /** The cloud takes the machine back. */
+    void take(Machine machine) {
+        synchronized (lock) {
+            record.log("%s is taken", machine.host);
+            machine.goneAt = now();
+            machine.tasks.clear();
+            capacity++;
+        }
+    }
+
+    private void checkPlace(Machine machine, String piece, Map<String, Object> job) {
+        Object hosttypes = job.get("hosttypes");
+        boolean allowed = (hosttypes == null || ((List<?>) hosttypes).contains(machine.type.label))
+            && (job.get("hall") == null || job.get("hall").equals(machine.hall))
+            && (!machine.reclaimable || (Boolean) job.get("reclaimable"));
+        int here = 0;
+        boolean elsewhere = false;
+        for (Machine other : machines.values()) {
+            if (other.isGone()) continue;
+            for (Task task : other.tasks.values()) {
+                if (!task.isOnMachine() || !uid(task.piece).equals(job.get("uid"))) continue;
+                if (other.hall.equals(machine.hall)) here++; else elsewhere = true;
             }
         }
+        int pieces = ((Number) job.get("pieces")).intValue();
+        if ((Boolean) job.get("one_zone") && elsewhere) allowed = false;
+        if ((Boolean) job.get("spread") && here > (pieces + 1) / 2) allowed = false;
+        if (!allowed) violate("wrong_place: %s starts on %s in %s", piece, machine.host, machine.hall);
     }
 
     private void started(Machine machine, String piece, long attempt, Map<String, Object> job) {
         record.log("%s: %s#%d starts", machine.host, piece, attempt);
         starts.merge(piece, 1, Integer::sum);
+        checkPlace(machine, piece, job);
         String team = (String) job.get("owner");
         double used = 0;
         for (Machine other : machines.values()) {
