--- a/review/lib-2/Cluster.java
+++ b/review/lib-2/Cluster.java
@@ -7,16 +7,28 @@
 import java.util.Map;
 import java.util.stream.Stream;
 
-/** A small deployment like wisloka's: three controllers, the state service, the cloud, machines and users. */
+/** A small deployment: three controllers, the state service, the cloud, machines and users. */
 final class Cluster implements AutoCloseable {
     static final Fleet.Type BIUROWY = new Fleet.Type("biurowy", 32, 64, 1.28, 0.58, 20, 0.25);
     static final Fleet.Type GLOWNY = new Fleet.Type("glowny", 64, 256, 3.11, 1.23, 25, 0.25);
-    static final List<String> ZONES = List.of("sala-krosno", "sala-jaslo");
-    static final Fleet.Times TIMES = new Fleet.Times(1.0, 10.0, 50.0, 4.0);
+    static final Fleet.Type SUUR = new Fleet.Type("suur", 32, 64, 1.54, 0.65, 25, 0.6);
+
+    /** What the site file says of a deployment. */
+    record Site(List<String> zones, List<Fleet.Type> types, Fleet.Times times, double cancelS, double cloudRps,
+                double listLagS, double ramMb, int sockets, double skewMs, String objective) {}
+
+    static final Site WISLOKA = new Site(List.of("sala-krosno", "sala-jaslo"), List.of(BIUROWY, GLOWNY),
+        new Fleet.Times(1.0, 10.0, 50.0, 4.0), 30, 5, 4, 181, 800, 25,
+        "{\"kind\":\"deadline\",\"class\":\"raport\",\"share\":0.975,\"times\":1.0}");
+    static final Site TAMMSAARE = new Site(List.of("tallinn-vana", "parnu", "tallinn-uus", "tartu"), List.of(SUUR),
+        new Fleet.Times(3.0, 18.0, 30.0, 6.0), 38, 4, 10, 268, 1200, 1000,
+        "{\"kind\":\"finished\",\"class\":\"aktiveerimine\",\"within_s\":60.0,\"share\":0.85}");
+    static final List<String> ZONES = WISLOKA.zones;
 
     /** The limits of the state service as the settings state them. */
     record Limits(double rps, double writeRps, double valueKb, int txnOps, String next) {
         static final Limits WISLOKA = new Limits(120, 25, 8, 12, null);
+        static final Limits TAMMSAARE = new Limits(250, 100, 32, 48, null);
 
         Limits announcing(double nextWriteRps, double nextValueKb, int nextTxnOps) {
             return new Limits(rps, writeRps, valueKb, txnOps, "{\"value_kb\":" + nextValueKb + ",\"txn_ops\":" + nextTxnOps
@@ -31,19 +43,26 @@
     final Users users;
     private final Path folder;
     private final Map<String, double[]> teams;
+    private final Site site;
 
-    /** The value of a team is its guarantee and its limit, in CPUs. */
+    /** A deployment like wisloka's. The value of a team is its guarantee and its limit, in CPUs. */
     Cluster(Path recordFile, Map<String, double[]> teams, Limits limits, int capacity) throws Exception {
+        this(WISLOKA, recordFile, teams, limits, capacity);
+    }
+
+    /** The value of a team is its guarantee and its limit, in CPUs. */
+    Cluster(Site site, Path recordFile, Map<String, double[]> teams, Limits limits, int capacity) throws Exception {
+        this.site = site;
         this.teams = teams;
         record = new Record(recordFile);
         folder = Files.createTempDirectory("review");
         state = new StateService(record, 3, limits.rps, limits.writeRps, limits.valueKb, limits.txnOps);
         Map<String, Double> teamLimits = new LinkedHashMap<>();
         teams.forEach((name, cpus) -> teamLimits.put(name, cpus[1]));
-        fleet = new Fleet(record, TIMES, List.of(BIUROWY, GLOWNY), ZONES, 4, capacity, teamLimits);
+        fleet = new Fleet(record, site.times, site.types, site.zones, site.listLagS, capacity, teamLimits);
         List<String> states = new ArrayList<>();
         for (int i = 0; i < 3; i++) states.add(state.address(i));
-        controllers = new Controllers(record, folder, ZONES, fleet.cloudAddress(), states, settings(limits));
+        controllers = new Controllers(record, folder, site.zones, fleet.cloudAddress(), states, settings(limits));
         fleet.setNodes(controllers.names, controllers.binds);
         users = new Users(record, controllers.binds);
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
@@ -53,13 +72,15 @@
         StringBuilder text = new StringBuilder();
         teams.forEach((name, cpus) -> text.append(text.length() == 0 ? "" : ",").append("{\"name\":\"" + name + "\",\"cpus\":"
             + cpus[0] + ",\"cpus_max\":" + cpus[1] + ",\"gpus\":0.0,\"gpus_max\":0.0}"));
-        return "{\"nodes\":3,\"zones\":[\"sala-krosno\",\"sala-jaslo\"],\"teams\":[" + text
-            + "],\"objectives\":[{\"kind\":\"deadline\",\"class\":\"raport\",\"share\":0.975,\"times\":1.0}],"
-            + "\"workers\":{\"report_s\":1.0,\"lease_s\":10.0,\"gang_wait_s\":50.0,\"gang_peer_s\":4.0,\"cancel_s\":30.0},"
-            + "\"state\":{\"rps\":" + limits.rps + ",\"write_rps\":" + limits.writeRps + ",\"value_kb\":" + limits.valueKb
-            + ",\"txn_ops\":" + limits.txnOps + (limits.next == null ? "" : ",\"next\":" + limits.next) + "},"
-            + "\"cloud\":{\"rps\":5.0,\"list_lag_s\":4.0},"
-            + "\"quota\":{\"cpu\":0.255,\"ram_mb\":181.0,\"sockets\":800},\"skew_ms\":25.0}";
+        Fleet.Times times = site.times;
+        return "{\"nodes\":3,\"zones\":[\"" + String.join("\",\"", site.zones) + "\"],\"teams\":[" + text
+            + "],\"objectives\":[" + site.objective + "],\"workers\":{\"report_s\":" + times.reportS() + ",\"lease_s\":"
+            + times.leaseS() + ",\"gang_wait_s\":" + times.gangWaitS() + ",\"gang_peer_s\":" + times.gangPeerS()
+            + ",\"cancel_s\":" + site.cancelS + "},\"state\":{\"rps\":" + limits.rps + ",\"write_rps\":" + limits.writeRps
+            + ",\"value_kb\":" + limits.valueKb + ",\"txn_ops\":" + limits.txnOps
+            + (limits.next == null ? "" : ",\"next\":" + limits.next) + "},\"cloud\":{\"rps\":" + site.cloudRps
+            + ",\"list_lag_s\":" + site.listLagS + "},\"quota\":{\"cpu\":0.255,\"ram_mb\":" + site.ramMb + ",\"sockets\":"
+            + site.sockets + "},\"skew_ms\":" + site.skewMs + "}";
     }
 
     /** The member that leads according to the state service, or -1. */
--- a/review/lib-2/Fleet.java
+++ b/review/lib-2/Fleet.java
@@ -387,6 +387,7 @@
     private final double listLagS;
     /** Machines that the cloud still has, for each type, zone and kind together. */
     private int capacity;
+    private double bootFactor = 1;
     private final Object lock = new Object();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, List<String>> hires = new HashMap<>();
@@ -455,6 +456,11 @@
         jobs.put((String) job.get("uid"), job);
     }
 
+    /** Machines boot in this many times the usual time of their type; the pages allow 0.6 to 1.5, and at times less. */
+    void setBootFactor(double factor) {
+        bootFactor = factor;
+    }
+
     /** Adds machines that are up already. */
     List<Machine> addUp(Type type, String hall, boolean reclaimable, int number) {
         List<Machine> added = new ArrayList<>();
@@ -688,7 +694,7 @@
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < rented; i++) {
             Machine machine =
-                add(type, (String) request.fields().get("hall"), (Boolean) request.fields().get("reclaimable"), type.bootS);
+                add(type, (String) request.fields().get("hall"), (Boolean) request.fields().get("reclaimable"), type.bootS * bootFactor);
             hosts.add(machine.host);
         }
         hires.put(hire, hosts);
