--- a/review/lib-2/Fleet.java
+++ b/review/lib-2/Fleet.java
@@ -64,6 +64,7 @@
         double goneAt = Double.MAX_VALUE;
         double hungUntil;
         double takenAt = Double.MAX_VALUE;
+        double stoppedAt = Double.MAX_VALUE;
         int node;
         long shift = 1;
         long counter;
@@ -88,7 +89,7 @@
         }
 
         boolean isGone() {
-            return goneAt <= now();
+            return goneAt <= now() || stoppedAt <= now();
         }
 
         private boolean isHung() {
@@ -385,7 +386,7 @@
     private final List<Type> types;
     private final List<String> halls;
     private final double listLagS;
-    /** Machines that the cloud still has, for each type, zone and kind together. */
+    /** Machines that the cloud still has, of all types, zones and kinds. It has none for good if this begins with 0. */
     private int capacity;
     private double bootFactor = 1;
     private final Object lock = new Object();
@@ -413,7 +414,7 @@
         this.types = types;
         this.halls = halls;
         this.listLagS = listLagS;
-        this.capacity = capacity;
+        this.capacity = capacity == 0 ? -1_000_000 : capacity;
         this.limits = limits;
         cloud = new Http.Server(this::serveCloud);
         Http.start(this::tickAll);
@@ -631,12 +632,12 @@
         }
     }
 
-    /** The CPUs that no task takes on the machines that are up. */
-    double freeCpus() {
+    /** The CPUs that no task takes on the machines that are up, in this zone or (null) in all. */
+    double freeCpus(String hall) {
         synchronized (lock) {
             double free = 0;
             for (Machine machine : machines.values()) {
-                if (machine.isGone() || machine.upAt > now()) continue;
+                if (machine.isGone() || machine.upAt > now() || hall != null && !machine.hall.equals(hall)) continue;
                 free += machine.type.vcpus;
                 for (Task task : machine.tasks.values()) {
                     if (!task.status.equals("ended")) free -= number(task.job, "vcpus");
@@ -646,6 +647,19 @@
         }
     }
 
+    double freeCpus() {
+        return freeCpus(null);
+    }
+
+    /** The machine stops with all that is on it. It is listed as running for 30 s and as failed afterwards. */
+    void stop(Machine machine) {
+        synchronized (lock) {
+            record.log("%s stops", machine.host);
+            machine.stoppedAt = now();
+            machine.tasks.clear();
+        }
+    }
+
     void hang(Machine machine, double seconds) {
         record.log("%s hangs for %.1f s", machine.host, seconds);
         machine.hungUntil = now() + seconds;
@@ -689,7 +703,7 @@
         for (Type t : types) if (t.label.equals(request.fields().get("hosttype"))) type = t;
         if (type == null || number < 1 || number > 50) return new Http.Answer(400, Map.of("error", "malformed"));
         int rented = Math.min(number, capacity);
-        if (rented == 0) return new Http.Answer(503, Map.of("error", "no capacity"));
+        if (rented <= 0) return new Http.Answer(503, Map.of("error", "no capacity"));
         capacity -= rented;
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < rented; i++) {
@@ -705,7 +719,7 @@
     private Http.Answer release(Http.Request request) {
         for (Object host : (List<?>) request.fields().get("hosts")) {
             Machine machine = machines.get((String) host);
-            if (machine == null || machine.isGone()) continue;
+            if (machine == null || machine.goneAt <= now()) continue;
             machine.goneAt = now();
             machine.tasks.clear();
             capacity++;
@@ -732,7 +746,7 @@
             item.put("hosttype", machine.type.label);
             item.put("hall", machine.hall);
             item.put("reclaimable", machine.reclaimable);
-            item.put("status", machine.upAt <= at ? "running" : "booting");
+            item.put("status", machine.stoppedAt + 30 <= now() ? "failed" : machine.upAt <= at ? "running" : "booting");
             item.put("age_s", at - machine.createdAt);
             found.add(item);
         }
